--- /dev/null
+++ b/bilberryspring/platform/front_router.py
@@ -0,0 +1,286 @@
+"""The router as it runs on the operators' machines: one process an entry machine."""
+
+import asyncio
+import random
+import signal
+import sys
+
+import uvloop
+
+from bilberryspring import __version__
+from bilberryspring.capability.routing import CallerLimits, RoutingTable
+from bilberryspring.connection.http_caller import CallerConnection, HttpRequest
+from bilberryspring.identifiers import AvailabilityZone, PoolName
+from bilberryspring.platform.backend_calls import make_server_calls
+from bilberryspring.platform.caller_edge import decode_request, make_edge_answer
+from bilberryspring.platform.feeds import ConfigurationFeed, ServerFeed
+from bilberryspring.platform.metadata_store import make_metadata_store
+from bilberryspring.platform.settings_file import (
+    MachineSettings,
+    load_machine_settings,
+)
+from bilberryspring.process.logs import close_logs, configure_logs, log_event
+from bilberryspring.process.server_table import make_server_table
+from bilberryspring.process.settings import split_address
+from bilberryspring.request.direct_queue import make_dispatcher
+from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+from bilberryspring.request.fleet_budget import make_fleet_retry_budget
+from bilberryspring.request.relay import make_relay
+
+__all__ = ["FrontRouter", "main", "make_front_router"]
+
+BACKLOG = 1024
+UPKEEP_S = 0.5
+# The balancer leaves a machine out after two misses, a second apart.
+OUT_OF_ROTATION_S = 2.6
+# Work in progress ends this long before the platform ends the process.
+STOP_MARGIN_S = 0.4
+POLL_S = 0.05
+FAULT_KINDS = {
+    400: ErrorKind.MALFORMED_REQUEST,
+    408: ErrorKind.MALFORMED_REQUEST,
+    413: ErrorKind.REQUEST_TOO_LARGE,
+    431: ErrorKind.REQUEST_TOO_LARGE,
+}
+
+
+class CallerPolicy:
+    """Limits of callers' connections, as the configuration in force has them."""
+
+    def __init__(self) -> None:
+        self.is_closing = False
+        self.apply(CallerLimits())
+
+    def apply(self, limits: CallerLimits) -> None:
+        """Put limits in force.
+
+        :param limits: limits of a configuration.
+        """
+        self.header_bytes = limits.header_bytes
+        self.body_bytes = limits.body_bytes
+        self.header_s = limits.header_s
+        self.idle_s = limits.idle_s
+
+
+class FrontRouter:
+    """Everything that lives as long as the process.
+
+    :param settings: checked settings.
+    """
+
+    def __init__(self, settings: MachineSettings):
+        self._settings = settings
+        self._table: RoutingTable | None = None
+        self._policy = CallerPolicy()
+        self._connections: set[CallerConnection] = set()
+        self._servers = make_server_table()
+        self._store = make_metadata_store(settings.store_address)
+        self._calls = make_server_calls()
+        self._dispatcher = make_dispatcher(
+            self._servers,
+            AvailabilityZone(settings.availability_zone),
+            settings.load_factor,
+        )
+        self._budget = make_fleet_retry_budget(
+            settings.retry_ratio,
+            settings.retry_extra,
+            settings.retry_window_s,
+            lambda: asyncio.get_running_loop().time(),
+        )
+        self._relay = make_relay(
+            self._calls, self._dispatcher, self._servers, self._budget
+        )
+        self._configuration_feed = ConfigurationFeed(self._store, self._adopt)
+        self._server_feed = ServerFeed(
+            self._store, self._servers, self._dispatcher.serve_all_waiting
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._listeners: list[asyncio.Server] = []
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store.
+
+        :raises OSError: if an address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        for address, handle, connections in (
+            (self._settings.caller_address, self._handle, self._connections),
+            (self._settings.readiness_address, self._tell_readiness, set()),
+        ):
+            host, port = split_address(address)
+            listener = await loop.create_server(
+                lambda handle=handle, connections=connections: CallerConnection(
+                    handle, self._policy, connections
+                ),
+                host,
+                port,
+                backlog=BACKLOG,
+            )
+            self._listeners.append(listener)
+        for run in (
+            self._configuration_feed.run,
+            self._server_feed.run,
+            self._keep_up,
+        ):
+            self._tasks.append(loop.create_task(self._guard(run)))
+
+    async def _guard(self, run) -> None:
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                log_event("task_failed", level="ERROR", error=repr(error))
+                await asyncio.sleep(UPKEEP_S)
+
+    async def _keep_up(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            self._calls.close_idle()
+            self._dispatcher.serve_all_waiting()
+
+    def _adopt(self, table: RoutingTable) -> None:
+        self._table = table
+        self._policy.apply(table.limits)
+        log_event(
+            "configuration_adopted",
+            version=table.version,
+            revision=table.revision,
+            routes=sum(len(each) for each in table.routes.values()),
+        )
+        self._dispatcher.serve_all_waiting()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may come."""
+        return (
+            self._table is not None
+            and self._server_feed.has_listed
+            and not self._policy.is_closing
+        )
+
+    async def _tell_readiness(
+        self, request: HttpRequest, connection: CallerConnection
+    ) -> None:
+        status, reason = (200, "OK") if self.is_ready else (503, "Service Unavailable")
+        connection.start_answer(status, reason, [], 0)
+
+    async def _handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        if request.fault:
+            kind = FAULT_KINDS[request.fault]
+            await make_edge_answer(connection, "").refuse(make_failure(kind))
+            return
+        table = self._table
+        if table is None:
+            failure = make_failure(ErrorKind.CONFIGURATION_UNAVAILABLE)
+            await make_edge_answer(connection, "").refuse(failure)
+            return
+        found = decode_request(request, table)
+        if isinstance(found, Failure):
+            log_event(
+                "request_refused",
+                level="WARNING",
+                kind=found.kind,
+                reason=found.reason,
+                target=request.target.decode("latin-1"),
+                version=table.version,
+            )
+            await make_edge_answer(connection, "").refuse(found)
+            return
+        answer = make_edge_answer(connection, found.request_id)
+        pool = table.pools.get(_choose_pool(found.route.pools))
+        if pool is None:
+            await answer.refuse(make_failure(ErrorKind.NO_INSTANCE))
+            return
+        await self._relay.relay(found, pool, answer)
+        log_event(
+            "request_answered",
+            request_id=found.request_id,
+            status=answer.status,
+            route=found.route.name,
+            tries=found.tries,
+            version=table.version,
+        )
+
+    async def drain(self) -> None:
+        """Leave the balancer's rotation, finish what was begun, then stop listening."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self._settings.stop_s - STOP_MARGIN_S
+        self._policy.is_closing = True
+        await asyncio.sleep(OUT_OF_ROTATION_S)
+        for listener in self._listeners:
+            listener.close()
+        while self._connections and loop.time() < end_s:
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            await asyncio.sleep(POLL_S)
+
+    async def close(self) -> None:
+        """End every task and connection."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._calls.close()
+        self._store.close()
+
+
+def _choose_pool(pools: tuple[tuple[PoolName, float], ...]) -> PoolName:
+    if len(pools) == 1:
+        return pools[0][0]
+    names = [name for name, _ in pools]
+    return random.choices(names, [weight for _, weight in pools])[0]
+
+
+def make_front_router(settings: MachineSettings) -> FrontRouter:
+    """Return a router that has not started.
+
+    :param settings: checked settings.
+    """
+    return FrontRouter(settings)
+
+
+async def _run(settings: MachineSettings) -> None:
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    router = make_front_router(settings)
+    await router.start()
+    log_event("ready")
+    await stopped.wait()
+    log_event("draining")
+    await router.drain()
+    await router.close()
+    log_event("stopped")
+
+
+def _note_reload() -> None:
+    found = load_machine_settings()
+    if isinstance(found, Failure):
+        log_event("update_refused", level="ERROR", reason=found.reason)
+
+
+def main() -> int:
+    """Run until SIGTERM.
+
+    :returns: exit code: zero after an orderly stop, one when it could not start, two
+        for wrong settings.
+    """
+    settings = load_machine_settings()
+    if isinstance(settings, Failure):
+        print(settings.reason, file=sys.stderr)
+        return 2
+    configure_logs("INFO", instance=settings.instance_id)
+    log_event("started", program="bilberryspring-front", build=__version__)
+    try:
+        uvloop.run(_run(settings))
+    except OSError as error:
+        log_event("start_failed", level="ERROR", error=str(error))
+        return 1
+    finally:
+        close_logs()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bilberryspring/platform/metadata_store.py
@@ -0,0 +1,383 @@
+"""Client of the platform's metadata store.
+
+Values cross the wire as base64 text; everywhere else they are bytes. A call that gets
+no answer may have taken effect, and the connection that it was sent on is not used
+again.
+"""
+
+import asyncio
+import base64
+import binascii
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from bilberryspring.connection.http_backend import (
+    BackendConnection,
+    BrokenConnection,
+    open_connection,
+)
+from bilberryspring.process.settings import split_address
+from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+
+__all__ = [
+    "HistoryGone",
+    "Lease",
+    "MetadataStore",
+    "StoreChanges",
+    "StoreConflict",
+    "StoreItem",
+    "StoreListing",
+    "make_metadata_store",
+]
+
+# The store answers in some milliseconds; an answer that takes a second is late enough
+# to ask over a new connection.
+CALL_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class StoreItem:
+    """One key as the store holds it.
+
+    :param value: ``None`` if the key was removed.
+    :param revision: revision of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreListing:
+    """Every key of a prefix; pages of a long list are of different moments.
+
+    :param revision: revision of the store at the first page.
+    """
+
+    items: tuple[StoreItem, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChanges:
+    """Changes since a revision.
+
+    :param revision: where the next question goes on.
+    """
+
+    items: tuple[StoreItem, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """Sentinel value: the store has dropped the changes since the revision."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreConflict:
+    """Sentinel value: a condition of a transaction did not hold, nothing was done."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that keys are attached to."""
+
+    lease_id: int
+    duration_s: float
+
+
+class MetadataStore:
+    """Calls the store over connections that are kept, one call at a time each.
+
+    :param address: ``ip:port`` of the store.
+    """
+
+    def __init__(self, address: str):
+        self._host, self._port = split_address(address)
+        self._idle: list[BackendConnection] = []
+        self.calls = 0
+
+    async def read_key(self, key: str) -> StoreItem | None | Failure:
+        """Read one key.
+
+        :param key: its name.
+        :returns: the item, ``None`` if there is none, or a failure.
+        """
+        answer = await self._call("GET", f"/kv-key?key={quote(key, safe='/')}")
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        if status == 404:
+            return None
+        return _guard(status, body, lambda: _decode_item(body))
+
+    async def list_prefix(
+        self, prefix: str, *, may_be_stale: bool = False
+    ) -> StoreListing | Failure:
+        """Read every key of a prefix, page by page.
+
+        :param prefix: what the keys begin with.
+        :param may_be_stale: accept an answer that is seconds old, at a tenth of the
+            price.
+        """
+        items: list[StoreItem] = []
+        first_revision = None
+        path = f"/kv-range?prefix={quote(prefix, safe='/')}"
+        if may_be_stale:
+            path += "&serializable=1"
+        page_path = path
+        while True:
+            answer = await self._call("GET", page_path)
+            if isinstance(answer, Failure):
+                return answer
+            status, body = answer
+            page = _guard(status, body, lambda body=body: _decode_page(body))
+            if isinstance(page, Failure):
+                return page
+            found, revision, is_truncated = page
+            items += found
+            first_revision = revision if first_revision is None else first_revision
+            if not is_truncated or not found:
+                return StoreListing(tuple(items), first_revision)
+            # Despite its name the parameter takes the last key of the page before.
+            page_path = f"{path}&sinceRev={quote(found[-1].key, safe='/')}"
+
+    async def watch_prefix(
+        self, prefix: str, since_revision: int, wait_s: float
+    ) -> StoreChanges | HistoryGone | Failure:
+        """Wait for changes of a prefix.
+
+        :param prefix: what the keys begin with.
+        :param since_revision: changes after this one are told.
+        :param wait_s: longest wait; no change is an answer as well.
+        """
+        path = (
+            f"/kv-watch?prefix={quote(prefix, safe='/')}"
+            f"&sinceRev={since_revision}&waitMs={round(wait_s * 1000)}"
+        )
+        answer = await self._call("GET", path, timeout_s=wait_s + CALL_TIMEOUT_S)
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        if status == 410:
+            return HistoryGone()
+        return _guard(status, body, lambda: _decode_changes(body, since_revision))
+
+    async def commit(
+        self,
+        writes: Mapping[str, bytes],
+        *,
+        lease_id: int = 0,
+        expected_revisions: Mapping[str, int] | None = None,
+        removals: Sequence[str] = (),
+    ) -> int | StoreConflict | Failure:
+        """Write and remove keys, all of them or none.
+
+        :param writes: values by key.
+        :param lease_id: lease that the keys are attached to, zero for none.
+        :param expected_revisions: last change of each key that must hold, zero for a
+            key that must not exist.
+        :param removals: keys to remove.
+        :returns: the new revision, or why nothing is known to be done.
+        """
+        document = {
+            "expectedRev": [
+                {"key": key, "revision": revision}
+                for key, revision in (expected_revisions or {}).items()
+            ],
+            "writes": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode("ascii"),
+                    "lease": lease_id,
+                }
+                for key, value in writes.items()
+            ],
+            "remove": list(removals),
+        }
+        answer = await self._call("POST", "/kv-txn", document)
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        if status == 412:
+            return StoreConflict()
+        return _guard(status, body, lambda: _read_int(body, "revision"))
+
+    async def grant_lease(self, duration_s: float) -> Lease | Failure:
+        """Take a lease.
+
+        :param duration_s: how long it lasts without a renewal.
+        """
+        document = {"ttlMs": round(duration_s * 1000)}
+        answer = await self._call("POST", "/kv-lease", document)
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        return _guard(
+            status,
+            body,
+            lambda: Lease(_read_int(body, "lease"), _read_int(body, "ttlMs") / 1000),
+        )
+
+    async def renew_lease(self, lease_id: int) -> bool | Failure:
+        """Renew a lease.
+
+        :param lease_id: the lease.
+        :returns: whether it still existed.
+        """
+        answer = await self._call("POST", f"/kv-keep/{lease_id}")
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        if status == 404:
+            return False
+        return _guard(status, body, lambda: True)
+
+    async def end_lease(self, lease_id: int) -> bool | Failure:
+        """End a lease and remove its keys.
+
+        :param lease_id: the lease.
+        :returns: whether it still existed.
+        """
+        answer = await self._call("DELETE", f"/kv-lease-end/{lease_id}")
+        if isinstance(answer, Failure):
+            return answer
+        status, body = answer
+        if status == 404:
+            return False
+        return _guard(status, body, lambda: True)
+
+    def close(self) -> None:
+        """Close the connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        document: Mapping[str, object] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, dict] | Failure:
+        self.calls += 1
+        connection = self._take_idle()
+        if connection is None:
+            opened = await open_connection(self._host, self._port, CONNECT_TIMEOUT_S)
+            if isinstance(opened, BrokenConnection):
+                return _fail(f"store not reached: {opened.reason}")
+            connection = opened
+        body = b"" if document is None else json.dumps(document).encode()
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {self._host}:{self._port}",
+            f"Content-Length: {len(body)}",
+        ]
+        if body:
+            lines.append("Content-Type: application/json")
+        connection.send("\r\n".join([*lines, "", ""]).encode("ascii") + body)
+        try:
+            async with asyncio.timeout(timeout_s):
+                head = await connection.read_head()
+                content = b""
+                while not isinstance(head, BrokenConnection):
+                    chunk = await connection.read_chunk()
+                    if isinstance(chunk, BrokenConnection):
+                        head = chunk
+                    elif chunk is None:
+                        break
+                    else:
+                        content += chunk
+        except TimeoutError:
+            connection.close()
+            return _fail(f"no answer from the store within {timeout_s:.1f} s")
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        if isinstance(head, BrokenConnection):
+            connection.close()
+            return _fail(f"connection to the store {head.kind.value}: {head.reason}")
+        if connection.is_reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return _decode_answer(head.status, content)
+
+    def _take_idle(self) -> BackendConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.close()
+        return None
+
+
+def make_metadata_store(address: str) -> MetadataStore:
+    """Return a client without connections.
+
+    :param address: ``ip:port`` of the store.
+    """
+    return MetadataStore(address)
+
+
+def _fail(reason: str) -> Failure:
+    return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
+
+
+_EXPECTED = (200, 404, 410, 412)
+
+
+def _decode_answer(status: int, content: bytes) -> tuple[int, dict] | Failure:
+    if status not in _EXPECTED:
+        return _fail(f"the store answered {status}")
+    if status != 200:
+        return status, {}
+    try:
+        body = json.loads(content) if content else {}
+    except ValueError as error:
+        return _fail(f"the store's answer is not JSON: {error}")
+    if not isinstance(body, dict):
+        return _fail("the store's answer is not an object")
+    return status, body
+
+
+def _guard(status, body, decode):
+    if status != 200:
+        return _fail(f"the store answered {status}")
+    try:
+        return decode()
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        return _fail(f"the store's answer cannot be read: {error!r}")
+
+
+def _read_int(body: Mapping, name: str) -> int:
+    value = body[name]
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{name} is not a whole number")
+    return value
+
+
+def _decode_item(body: Mapping) -> StoreItem:
+    key, revision = body["key"], _read_int(body, "revision")
+    if not isinstance(key, str):
+        raise ValueError("a key is not text")
+    if body.get("tombstone"):
+        return StoreItem(key, None, revision)
+    return StoreItem(key, base64.b64decode(body["value"], validate=True), revision)
+
+
+def _decode_page(body: Mapping) -> tuple[list[StoreItem], int, bool]:
+    items = [_decode_item(each) for each in body["items"]]
+    return items, _read_int(body, "currentRev"), bool(body.get("truncated"))
+
+
+def _decode_changes(body: Mapping, since_revision: int) -> StoreChanges:
+    items = tuple(_decode_item(each) for each in body["events"])
+    # An answer without events may repeat an older revision than the one asked for.
+    revision = max(_read_int(body, "currentRev"), since_revision)
+    return StoreChanges(items, revision)
--- /dev/null
+++ b/bilberryspring/policy/direct_placing.py
@@ -0,0 +1,105 @@
+"""Which backend server a router that sees no agent gives a request to.
+
+Load pattern: returning chats whose prompts share long parts, next to short requests,
+while servers slow down, fill up, or fall silent. All routers rank a prompt's servers by
+the same hash, so they agree on the one that keeps its shared parts without a word
+between them; each leaves that one when waiting there would take longer than reading the
+parts anew elsewhere.
+"""
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+
+from bilberryspring.policy.registry import Registry, make_registry
+
+__all__ = ["DIRECT_PLACING", "ServerView", "choose_server", "find_home"]
+
+DEFAULT_DIRECT_PLACING = "shortest_start"
+# A pool that is nearly idle has a mean load near zero; these requests are always free.
+FREE_REQUESTS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerView:
+    """One server that may take a request.
+
+    :param requests: requests of all routers there.
+    :param start_s: predicted time until it begins to answer.
+    :param is_near: it is in the router's availability zone.
+    """
+
+    server_id: str
+    requests: float
+    start_s: float
+    is_near: bool
+
+
+DirectPlacing = Callable[[Sequence[ServerView]], ServerView]
+
+DIRECT_PLACING: Registry[DirectPlacing] = make_registry()
+
+# A server of another zone must promise to begin so much sooner; twice the time that a
+# message takes between zones.
+ZONE_COST_S = 0.002
+
+
+@DIRECT_PLACING.register("shortest_start")
+def choose_shortest_start(views: Sequence[ServerView]) -> ServerView:
+    """Choose the server that begins first, a near one where they are alike."""
+    return min(
+        views,
+        key=lambda view: (
+            view.start_s + (0.0 if view.is_near else ZONE_COST_S),
+            view.server_id,
+        ),
+    )
+
+
+@DIRECT_PLACING.register("least_requests")
+def choose_least_requests(views: Sequence[ServerView]) -> ServerView:
+    """Choose the server with the fewest requests; a baseline."""
+    return min(views, key=lambda view: (view.requests, view.server_id))
+
+
+def choose_server(
+    policy: str, views: Sequence[ServerView], load_factor: float
+) -> ServerView | None:
+    """Choose among the servers that keep the load bound.
+
+    :param policy: name in the registry.
+    :param views: servers of the pool that can take one more request.
+    :param load_factor: no server gets work beyond so many times the mean.
+    :returns: ``None`` if there is no server.
+
+    >>> views = [ServerView("a", 9, 0.1, True), ServerView("b", 0, 0.2, True)]
+    >>> choose_server("shortest_start", views, 1.5).server_id
+    'b'
+    """
+    if not views:
+        return None
+    mean = sum(view.requests for view in views) / len(views)
+    limit = load_factor * mean + FREE_REQUESTS
+    bounded = [view for view in views if view.requests <= limit]
+    return DIRECT_PLACING[policy](bounded or views)
+
+
+def find_home(key: str, server_ids: Sequence[str]) -> str | None:
+    """Return the server that keeps the shared parts of a prompt.
+
+    :param key: id of the last shared part.
+    :param server_ids: servers of the pool.
+    :returns: the same one at every router that lists it; ``None`` without servers.
+
+    >>> find_home("5c1e07a2", ["b", "a"]) == find_home("5c1e07a2", ["a", "b", "c"])
+    True
+    """
+    return max(server_ids, key=lambda each: _score(key, each), default=None)
+
+
+@lru_cache(maxsize=65_536)
+def _score(key: str, server_id: str) -> float:
+    return xxhash.xxh3_64_intdigest(f"{key}/{server_id}".encode()) / math.pow(2, 64)
--- /dev/null
+++ b/bilberryspring/request/direct_queue.py
@@ -0,0 +1,294 @@
+"""Requests that wait at a router until a backend server can take them."""
+
+import asyncio
+import heapq
+import itertools
+from dataclasses import dataclass, field
+
+from bilberryspring.capability.routing import (
+    IncomingRequest,
+    PoolLimits,
+
+)
+from bilberryspring.identifiers import AvailabilityZone, PoolName
+from bilberryspring.policy.direct_placing import (
+    DEFAULT_DIRECT_PLACING,
+    ServerView,
+    choose_server,
+    find_home,
+)
+from bilberryspring.process.clock import read_elapsed_s
+from bilberryspring.process.server_table import ServerRecord, ServerTable
+from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+
+__all__ = ["Dispatcher", "Place", "make_dispatcher"]
+
+# An engine of the usual kind reads so many prompt tokens in a second and begins to
+# answer after this time; each server's slowness corrects them.
+PROMPT_TOKENS_PER_S = 140_000.0
+ENGINE_START_S = 0.06
+# A running request delays a new one by about a tenth of a prompt's chunk.
+RUNNING_COST_S = 0.002
+# Plain services start from this time for a request; measured times replace it.
+SERVICE_TIME_S = 0.1
+SERVICE_TIME_WEIGHT = 0.05
+# Part of an engine's memory that is given out; shared parts need the rest.
+MEMORY_SHARE = 0.85
+# Requests that a plain server holds beyond its slots, so that it never idles.
+SPARE_REQUESTS = 2
+# The load bound is kept with room for what other routers send meanwhile.
+BOUND_SHARE = 0.8
+LEAST_RETRY_AFTER_S = 0.05
+
+
+@dataclass(slots=True)
+class Place:
+    """A request's place at a server.
+
+    :param prompt_tokens: tokens that the server is yet to read.
+    :param held_tokens: tokens that it takes in the server's memory.
+    :param expected_s: predicted time to the first part of the answer, at a server of
+        the usual speed.
+    """
+
+    record: ServerRecord
+    prompt_tokens: int
+    held_tokens: int
+    expected_s: float
+    has_begun: bool = False
+
+    def begin(self) -> None:
+        """Note that the answer has begun, so the prompt is read."""
+        if not self.has_begun:
+            self.has_begun = True
+            self.record.prompt_tokens -= self.prompt_tokens
+
+
+@dataclass(order=True, slots=True)
+class _Waiter:
+    key: tuple[float, ...]
+    request: IncomingRequest = field(compare=False)
+    pool: PoolLimits = field(compare=False)
+    result: "asyncio.Future[Place | Failure]" = field(compare=False)
+
+
+class Dispatcher:
+    """Gives requests places at servers, and lets them wait where that serves them.
+
+    :param servers: what is known of the servers.
+    :param zone: the router's availability zone.
+    :param load_factor: a server carries at most so many times the mean load.
+    """
+
+    def __init__(
+        self, servers: ServerTable, zone: AvailabilityZone, load_factor: float
+    ):
+        self._servers = servers
+        self._zone = zone
+        self._load_factor = load_factor * BOUND_SHARE
+        self._waiting: dict[PoolName, list[_Waiter]] = {}
+        self._count = itertools.count()
+        self._service_time_s: dict[PoolName, float] = {}
+
+    async def place(
+        self, request: IncomingRequest, pool: PoolLimits, must_end_s: float
+    ) -> Place | Failure:
+        """Return a place, after a wait if need be.
+
+        :param request: the request; servers that it was tried at are left out.
+        :param pool: pool that it goes to.
+        :param must_end_s: latest end of the answer.
+        :returns: the place, or why there is none.
+        """
+        queue = self._waiting.setdefault(pool.name, [])
+        if not queue:
+            found = self._find(request, pool)
+            if isinstance(found, Place):
+                return found
+            if found.kind is ErrorKind.NO_INSTANCE:
+                return found
+        refusal = self._predict_refusal(request, pool, queue, must_end_s)
+        if refusal is not None:
+            return refusal
+        waiter = _Waiter(
+            (request.rank_order, next(self._count)),
+            request,
+            pool,
+            asyncio.get_running_loop().create_future(),
+        )
+        heapq.heappush(queue, waiter)
+        try:
+            async with asyncio.timeout(max(0.0, must_end_s - read_elapsed_s())):
+                return await waiter.result
+        except TimeoutError:
+            return make_failure(
+                ErrorKind.OVERLOADED, "no server had room before the deadline"
+            )
+        finally:
+            if waiter in queue:
+                queue.remove(waiter)
+                heapq.heapify(queue)
+            elif waiter.result.cancelled():
+                pass
+
+    def release(self, place: Place, taken_s: float | None = None) -> None:
+        """Give a place back.
+
+        :param place: the place.
+        :param taken_s: time that a whole answer took, if it came.
+        """
+        place.begin()
+        record = place.record
+        record.requests -= 1
+        record.held_tokens -= place.held_tokens
+        pool = record.server.pool
+        if taken_s is not None:
+            known_s = self._service_time_s.get(pool, SERVICE_TIME_S)
+            self._service_time_s[pool] = known_s + SERVICE_TIME_WEIGHT * (
+                taken_s - known_s
+            )
+        self.serve_waiting(pool)
+
+    def serve_waiting(self, pool: PoolName) -> None:
+        """Give places to those who wait for a pool, the most urgent first.
+
+        :param pool: its name.
+        """
+        queue = self._waiting.get(pool)
+        while queue:
+            waiter = queue[0]
+            if waiter.result.done():
+                heapq.heappop(queue)
+                continue
+            found = self._find(waiter.request, waiter.pool)
+            if isinstance(found, Failure) and found.kind is not ErrorKind.NO_INSTANCE:
+                return
+            heapq.heappop(queue)
+            waiter.result.set_result(found)
+
+    def serve_all_waiting(self) -> None:
+        """Give places to those who wait, after news of the servers."""
+        for pool in list(self._waiting):
+            self.serve_waiting(pool)
+
+    def expect_service_s(self, pool: PoolName) -> float:
+        """Return the mean time of a whole answer of a pool.
+
+        :param pool: its name.
+        """
+        return self._service_time_s.get(pool, SERVICE_TIME_S)
+
+    def _predict_refusal(
+        self,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        queue: list[_Waiter],
+        must_end_s: float,
+    ) -> Failure | None:
+        ready = self._servers.list_ready(pool.name)
+        slots = sum(record.server.slots for record in ready) or 1
+        service_s = self.expect_service_s(pool.name)
+        ahead = sum(w.request.rank_order <= request.rank_order for w in queue)
+        wait_s = (ahead + 1) * service_s / slots
+        left_s = must_end_s - read_elapsed_s()
+        allowed_s = min(left_s - service_s, request.route.target_s)
+        if wait_s <= allowed_s:
+            return None
+        return make_failure(
+            ErrorKind.OVERLOADED,
+            f"predicted wait {wait_s:.2f} s is above {allowed_s:.2f} s",
+            retry_after_s=max(wait_s, LEAST_RETRY_AFTER_S),
+        )
+
+    def _find(self, request: IncomingRequest, pool: PoolLimits) -> Place | Failure:
+        now_s = asyncio.get_running_loop().time()
+        ready = self._servers.list_ready(pool.name)
+        untried = [r for r in ready if r.server.server_id not in request.tried]
+        if not untried:
+            reason = f"pool {pool.name} has {len(ready)} servers, none is left to try"
+            return make_failure(ErrorKind.NO_INSTANCE, reason, retry_after_s=0.5)
+        sound = [r for r in untried if not r.is_avoided(now_s)]
+        records = sound or untried
+        home = _find_home(request, ready)
+        views, places = [], {}
+        for record in records:
+            place = self._plan(record, request, pool, home)
+            if not _has_room(record, place, pool):
+                continue
+            slowness = record.read_slowness(now_s)
+            start_s = self._predict_start(record, place, pool) * slowness
+            near = record.server.availability_zone == self._zone
+            places[record.server.server_id] = place
+            views.append(
+                ServerView(record.server.server_id, record.all_requests, start_s, near)
+            )
+        chosen = choose_server(DEFAULT_DIRECT_PLACING, views, self._load_factor)
+        if chosen is None:
+            return make_failure(ErrorKind.OVERLOADED, "every server is full")
+        place = places[chosen.server_id]
+        record = place.record
+        record.requests += 1
+        record.prompt_tokens += place.prompt_tokens
+        record.held_tokens += place.held_tokens
+        return place
+
+    def _plan(
+        self,
+        record: ServerRecord,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        home: str | None,
+    ) -> Place:
+        prompt = request.prompt
+        if prompt is None or pool.engine is None:
+            return Place(record, 0, 0, self.expect_service_s(pool.name))
+        cached = record.count_cached(prompt)
+        if record.server.server_id == home:
+            cached = max(cached, sum(part.tokens for part in prompt.parts[:-1]))
+        to_read = max(prompt.input_tokens - cached, 0)
+        held = prompt.input_tokens + (prompt.hinted_tokens or prompt.output_tokens)
+        return Place(
+            record, to_read, held, ENGINE_START_S + to_read / PROMPT_TOKENS_PER_S
+        )
+
+    def _predict_start(
+        self, record: ServerRecord, place: Place, pool: PoolLimits
+    ) -> float:
+        if pool.engine is None:
+            waves = (record.all_requests + 1) / max(record.server.slots, 1)
+            return waves * self.expect_service_s(pool.name)
+        ahead = record.prompt_tokens + record.peers.prompt_tokens
+        return (
+            place.expected_s
+            + ahead / PROMPT_TOKENS_PER_S
+            + record.all_requests * RUNNING_COST_S
+        )
+
+
+def _has_room(record: ServerRecord, place: Place, pool: PoolLimits) -> bool:
+    if pool.engine is None:
+        return record.all_requests < record.server.slots + SPARE_REQUESTS
+    held = record.held_tokens + record.peers.held_tokens + place.held_tokens
+    if record.requests and held > pool.engine.cache_tokens * MEMORY_SHARE:
+        return False
+    return record.all_requests < pool.engine.slots
+
+
+def _find_home(request: IncomingRequest, ready: list[ServerRecord]) -> str | None:
+    prompt = request.prompt
+    if prompt is None or not prompt.parts:
+        return None
+    key = prompt.parts[-2 if len(prompt.parts) > 1 else -1].part_id
+    return find_home(key, [record.server.server_id for record in ready])
+
+
+def make_dispatcher(
+    servers: ServerTable, zone: AvailabilityZone, load_factor: float
+) -> Dispatcher:
+    """Return a dispatcher without waiting requests.
+
+    :param servers: what is known of the servers.
+    :param zone: the router's availability zone.
+    :param load_factor: a server carries at most so many times the mean load.
+    """
+    return Dispatcher(servers, zone, load_factor)
--- /dev/null
+++ b/bilberryspring/request/fleet_budget.py
@@ -0,0 +1,76 @@
+"""Bound of further sends that holds over all routers together."""
+
+from collections import deque
+from collections.abc import Callable
+
+__all__ = ["FleetRetryBudget", "make_fleet_retry_budget"]
+
+# Part of the agreed ratio and extra that routers use; the rest is for those that join
+# or return meanwhile.
+USED_SHARE = 0.7
+
+
+class FleetRetryBudget:
+    """Bounds further sends in a sliding window.
+
+    :param ratio: further sends for each request, over all routers.
+    :param extra: further sends beyond the ratio in a window, over all routers.
+    :param window_s: length of the window.
+    :param read_clock: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        extra: float,
+        window_s: float,
+        read_clock: Callable[[], float],
+    ):
+        self._ratio = ratio * USED_SHARE
+        self._extra = extra * USED_SHARE
+        self._window_s = window_s
+        self._read_clock = read_clock
+        self._firsts: deque[float] = deque()
+        self._spent: deque[float] = deque()
+        self.routers = 1
+
+    def note_first(self) -> None:
+        """Count a request that is sent for the first time."""
+        self._firsts.append(self._read_clock())
+
+    def can_spend(self) -> bool:
+        """Return whether one more send is within the bound."""
+        since_s = self._read_clock() - self._window_s
+        for sends in (self._firsts, self._spent):
+            while sends and sends[0] < since_s:
+                sends.popleft()
+        allowed = self._ratio * len(self._firsts) + self._extra / self.routers
+        return len(self._spent) + 1 <= allowed
+
+    def spend(self) -> bool:
+        """Count one more send.
+
+        :returns: whether the bound allows it; if not, nothing is counted.
+
+        >>> budget = make_fleet_retry_budget(0.5, 2, 10.0, lambda: 0.0)
+        >>> budget.note_first()
+        >>> [budget.spend(), budget.spend()]
+        [True, False]
+        """
+        if not self.can_spend():
+            return False
+        self._spent.append(self._read_clock())
+        return True
+
+
+def make_fleet_retry_budget(
+    ratio: float, extra: float, window_s: float, read_clock: Callable[[], float]
+) -> FleetRetryBudget:
+    """Return a budget that nothing was taken from.
+
+    :param ratio: further sends for each request, over all routers.
+    :param extra: further sends beyond the ratio in a window, over all routers.
+    :param window_s: length of the window.
+    :param read_clock: returns monotonic time in seconds.
+    """
+    return FleetRetryBudget(ratio, extra, window_s, read_clock)
--- /dev/null
+++ b/bilberryspring/request/relay.py
@@ -0,0 +1,327 @@
+"""One request's way through a router that calls backend servers itself.
+
+A request that may have run is sent again only if it is repeatable, or if a stream can
+be continued after the last whole event. An answer that a server made is passed on,
+also when it is late; one that breaks off never looks complete.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from bilberryspring.capability.backend_calls import (
+    AnswerHead,
+    BackendCalls,
+    CallerAnswer,
+    Exchange,
+)
+from bilberryspring.capability.routing import IncomingRequest, PoolLimits, RunRule
+from bilberryspring.process.clock import read_elapsed_s
+from bilberryspring.process.logs import log_event
+from bilberryspring.process.server_table import ServerTable
+from bilberryspring.request.direct_queue import Dispatcher, Place
+from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
+from bilberryspring.request.event_splitter import EventSplitter, make_event_splitter
+from bilberryspring.request.fleet_budget import FleetRetryBudget
+
+__all__ = ["Relay", "make_relay"]
+
+# How often a request that waits for a server asks whether that server fell silent.
+WATCH_S = 0.25
+MAX_BUFFERED_BODY_BYTES = 8_000_000
+_DONE = None
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What the caller of one request has of its answer."""
+
+    answer: CallerAnswer
+    splitter: EventSplitter
+    has_part: bool = False
+
+
+class Relay:
+    """Relays requests.
+
+    :param calls: sends requests to servers.
+    :param dispatcher: gives places at servers.
+    :param servers: what is known of the servers.
+    :param budget: bounds further sends over all routers.
+    """
+
+    def __init__(
+        self,
+        calls: BackendCalls,
+        dispatcher: Dispatcher,
+        servers: ServerTable,
+        budget: FleetRetryBudget,
+    ):
+        self._calls = calls
+        self._dispatcher = dispatcher
+        self._servers = servers
+        self._budget = budget
+
+    async def relay(
+        self, request: IncomingRequest, pool: PoolLimits, answer: CallerAnswer
+    ) -> None:
+        """Answer one request.
+
+        :param request: the request.
+        :param pool: pool that its route leads to.
+        :param answer: the caller's answer.
+        """
+        begun_s = request.received_s
+        must_end_s = min(request.deadline_s, begun_s + request.route.timeout_s)
+        progress = _Progress(answer, make_event_splitter())
+        outcome: Failure | None = make_failure(ErrorKind.DEADLINE_EXCEEDED)
+        try:
+            async with asyncio.timeout(max(must_end_s - read_elapsed_s(), 0)):
+                outcome = await self._try_servers(request, pool, progress, must_end_s)
+        except TimeoutError:
+            if request.tries == 0:
+                outcome = make_failure(
+                    ErrorKind.OVERLOADED, "no server had room before the deadline"
+                )
+        if outcome is _DONE:
+            return
+        log_event(
+            "request_refused" if request.tries == 0 else "request_failed",
+            level="WARNING",
+            request_id=request.request_id,
+            kind=outcome.kind,
+            outcome=outcome.outcome,
+            reason=outcome.reason,
+            route=request.route.name,
+            tries=request.tries,
+            age_s=read_elapsed_s() - begun_s,
+            left_s=must_end_s - read_elapsed_s(),
+            is_begun=answer.is_started,
+        )
+        if answer.is_started:
+            answer.break_off()
+        else:
+            await answer.refuse(outcome)
+
+    async def _try_servers(
+        self,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        progress: _Progress,
+        must_end_s: float,
+    ) -> Failure | None:
+        last: Failure | None = None
+        while True:
+            place = await self._dispatcher.place(request, pool, must_end_s)
+            if isinstance(place, Failure):
+                return last or place
+            if last is None:
+                self._budget.note_first()
+            elif not self._budget.spend():
+                self._dispatcher.release(place)
+                log_event(
+                    "try_failed",
+                    level="WARNING",
+                    request_id=request.request_id,
+                    reason="the budget for further tries is spent",
+                    kind=last.kind,
+                )
+                return last
+            found = await self._try_once(request, place, progress, must_end_s)
+            if not isinstance(found, Failure):
+                return found
+            request.tried.add(place.record.server.server_id)
+            log_event(
+                "try_failed",
+                level="WARNING",
+                request_id=request.request_id,
+                server=place.record.server.server_id,
+                kind=found.kind,
+                outcome=found.outcome,
+                reason=found.reason,
+                tries=request.tries,
+            )
+            may_have_run = found.outcome is not Outcome.NOT_RUN
+            # A success on one try hides nothing: what may have run once stays so.
+            if last is None or may_have_run or last.outcome is Outcome.NOT_RUN:
+                last = found
+            if may_have_run and not request.route.is_repeatable:
+                return last
+            if request.tries >= request.route.max_servers and may_have_run:
+                return last
+            if request.tries >= request.route.max_servers + 1:
+                return last
+
+    async def _try_once(
+        self,
+        request: IncomingRequest,
+        place: Place,
+        progress: _Progress,
+        must_end_s: float,
+    ) -> Failure | None:
+        record, loop = place.record, asyncio.get_running_loop()
+        token = object()
+        sent_s = loop.time()
+        exchange = None
+        taken_s = None
+        try:
+            if progress.splitter.last_id is not None:
+                request.resume_after = progress.splitter.last_id
+            exchange = await self._calls.begin(
+                record.server, request, must_end_s - read_elapsed_s()
+            )
+            if isinstance(exchange, Failure):
+                record.note_failure(exchange.reason, loop.time())
+                return exchange
+            request.tries += 1
+            record.note_sent(token, request.prompt, loop.time())
+            log_event(
+                "request_sent",
+                request_id=request.request_id,
+                server=record.server.server_id,
+                requests=record.requests,
+                peers=record.peers.requests,
+                slowness=record.slowness,
+                expected_s=place.expected_s,
+                prompt_tokens=place.prompt_tokens,
+            )
+            head = await self._wait(exchange.read_head, request, place, token)
+            if isinstance(head, Failure):
+                record.note_failure(head.reason, loop.time())
+                return head
+            record.note_heard(token, loop.time())
+            record.note_time(loop.time() - sent_s, place.expected_s, loop.time())
+            refusal = self._judge_head(head, request, place)
+            if refusal is not None:
+                return refusal
+            if request.route.rule is RunRule.STREAM and head.is_success:
+                failure = await self._pass_stream(
+                    exchange, head, request, place, progress, token
+                )
+            else:
+                failure = await self._pass_whole(
+                    exchange, head, request, place, progress, token
+                )
+            if failure is None:
+                record.note_success()
+                taken_s = loop.time() - sent_s
+            else:
+                record.note_failure(failure.reason, loop.time())
+            return failure
+        finally:
+            record.unanswered.pop(token, None)
+            if exchange is not None and not isinstance(exchange, Failure):
+                exchange.close()
+            self._dispatcher.release(place, taken_s)
+
+    def _judge_head(
+        self, head: AnswerHead, request: IncomingRequest, place: Place
+    ) -> Failure | None:
+        record = place.record
+        self._servers.note_load(record, head.load)
+        if head.was_not_run:
+            return make_failure(
+                ErrorKind.OVERLOADED,
+                f"{record.server.server_id} refused it with {head.status}",
+                retry_after_s=self._dispatcher.expect_service_s(record.server.pool),
+            )
+        if not head.is_own:
+            return make_failure(
+                ErrorKind.BACKEND_FAILED,
+                f"{record.server.server_id} answered {head.status} without its proof",
+            )
+        can_repeat = (
+            request.route.is_repeatable and request.tries < request.route.max_servers
+        )
+        if head.status >= 500 and can_repeat and self._budget.can_spend():
+            return make_failure(
+                ErrorKind.BACKEND_FAILED,
+                f"{record.server.server_id} failed with {head.status}",
+                outcome=Outcome.RAN,
+            )
+        return None
+
+    async def _pass_whole(
+        self,
+        exchange: Exchange,
+        head: AnswerHead,
+        request: IncomingRequest,
+        place: Place,
+        progress: _Progress,
+        token: object,
+    ) -> Failure | None:
+        parts: list[bytes] = []
+        size_bytes = 0
+        while True:
+            chunk = await self._wait(exchange.read_chunk, request, place, token)
+            if isinstance(chunk, Failure):
+                return chunk
+            if chunk is None:
+                break
+            place.record.note_heard(token, asyncio.get_running_loop().time())
+            parts.append(chunk)
+            size_bytes += len(chunk)
+            if size_bytes > MAX_BUFFERED_BODY_BYTES:
+                return make_failure(ErrorKind.BACKEND_FAILED, "the answer is too large")
+        progress.answer.start(head, size_bytes)
+        await progress.answer.write(b"".join(parts))
+        progress.answer.finish()
+        return _DONE
+
+    async def _pass_stream(
+        self,
+        exchange: Exchange,
+        head: AnswerHead,
+        request: IncomingRequest,
+        place: Place,
+        progress: _Progress,
+        token: object,
+    ) -> Failure | None:
+        answer, splitter = progress.answer, progress.splitter
+        splitter.drop_rest()
+        loop = asyncio.get_running_loop()
+        while True:
+            chunk = await self._wait(exchange.read_chunk, request, place, token)
+            if isinstance(chunk, Failure):
+                return chunk
+            if not answer.is_started:
+                answer.start(head, None)
+            if chunk is None:
+                await answer.write(splitter.take_rest())
+                answer.finish()
+                return _DONE
+            place.begin()
+            place.record.note_heard(token, loop.time())
+            await answer.write(splitter.feed(chunk))
+
+    async def _wait(self, read, request: IncomingRequest, place: Place, token: object):
+        """Wait for a part of an answer; leave a silent server if that loses nothing."""
+        record, loop = place.record, asyncio.get_running_loop()
+        if not request.route.is_repeatable:
+            return await read()
+        while True:
+            try:
+                async with asyncio.timeout(WATCH_S):
+                    return await read()
+            except TimeoutError:
+                now_s = loop.time()
+                record.unanswered.setdefault(token, now_s - WATCH_S)
+                others = request.tries < request.route.max_servers
+                if others and record.is_silent(now_s) and self._budget.can_spend():
+                    reason = f"{record.server.server_id} is silent"
+                    return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
+
+def make_relay(
+    calls: BackendCalls,
+    dispatcher: Dispatcher,
+    servers: ServerTable,
+    budget: FleetRetryBudget,
+) -> Relay:
+    """Return a relay.
+
+    :param calls: sends requests to servers.
+    :param dispatcher: gives places at servers.
+    :param servers: what is known of the servers.
+    :param budget: bounds further sends over all routers.
+    """
+    return Relay(calls, dispatcher, servers, budget)
