Let engines fetch cached parts from each other, and place by what a server lacks

Change: a prompt's shared parts have a home by hash; lacking parts count four times their time, and the engine fetches them from the home, the next one, or one known to have them. The caller's port stays open while a machine drains, since the balancer uses machines that are not ready if few of a zone are left.

--- a/bilberryspring/capability/routing.py
+++ b/bilberryspring/capability/routing.py
@@ -88,11 +88,13 @@
     :param slots: requests that run at once.
     :param cache_tokens: tokens of running requests and cached parts together.
     :param chunk_tokens: tokens in one event of a stream.
+    :param can_fetch: an engine can take cached parts of a prompt from another one.
     """
 
     slots: int
     cache_tokens: int
     chunk_tokens: int
+    can_fetch: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,6 +242,7 @@
     """One request of a caller, read in full.
 
     :param headers: fields to pass on, without those of the connection.
+    :param fetch_from: engine that has parts of the prompt which its server lacks.
     :param deadline_s: end of the caller's patience, on the clock of
         :func:`bilberryspring.process.clock.read_elapsed_s`.
     :param received_s: when its head was read, on the same clock.
@@ -258,5 +261,6 @@
     deadline_s: float
     prompt: Prompt | None = None
     resume_after: str | None = None
+    fetch_from: BackendServer | None = None
     tried: set[InstanceId] = field(default_factory=set)
     tries: int = 0
--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -14,7 +14,7 @@
 from bilberryspring.process.clock import read_elapsed_s
 from bilberryspring.process.logs import log_event
 
-__all__ = ["CallerConnection", "CallerGone", "HttpRequest", "ServerPolicy"]
+__all__ = ["CallerConnection", "CallerGoneError", "HttpRequest", "ServerPolicy"]
 
 # A caller that does not read is given up once this much waits for it.
 WRITE_BUFFER_BYTES = 256 * 1024
@@ -22,7 +22,7 @@
 _CHUNKED = (b"Transfer-Encoding", b"chunked")
 
 
-class CallerGone(ConnectionError):
+class CallerGoneError(ConnectionError):
     """The caller closed its connection."""
 
 
@@ -169,8 +169,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the framing, and answer a caller that waits to be told to send."""
-        lengths = {value for name, value in self._headers if _is(name, b"content-length")}
-        codings = [value for name, value in self._headers if _is(name, b"transfer-encoding")]
+        lengths = set(self._find_all(b"content-length"))
+        codings = self._find_all(b"transfer-encoding")
         if len(lengths) > 1 or (lengths and codings) or len(codings) > 1:
             raise ValueError("the length of the body is ambiguous")
         if codings and codings[0].strip().lower() != b"chunked":
@@ -179,10 +179,13 @@
             if int(length) > self._policy.body_bytes:
                 self._fault = 413
                 raise ValueError("the body is too large")
-        if any(_is(name, b"expect") for name, _ in self._headers):
+        if self._find_all(b"expect"):
             if not self._requests and not self._is_handling:
                 self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _find_all(self, lower_name: bytes) -> list[bytes]:
+        return [value for name, value in self._headers if name.lower() == lower_name]
+
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
         self._body_bytes += len(body)
@@ -239,7 +242,7 @@
         except asyncio.CancelledError:
             if not self._is_lost:
                 raise
-        except CallerGone:
+        except CallerGoneError:
             pass
         except Exception as error:
             log_event("handler_failed", level="ERROR", error=repr(error))
@@ -307,7 +310,7 @@
         """Write a part of the body, and wait while the caller reads too slowly.
 
         :param data: bytes of the body.
-        :raises CallerGone: if the caller closed its connection.
+        :raises CallerGoneError: if the caller closed its connection.
         """
         if not data:
             return
@@ -338,9 +341,5 @@
 
     def _write(self, data: bytes) -> None:
         if self._is_lost or self._transport is None:
-            raise CallerGone("the caller closed its connection")
+            raise CallerGoneError("the caller closed its connection")
         self._transport.write(data)
-
-
-def _is(name: bytes, lower: bytes) -> bool:
-    return len(name) == len(lower) and name.lower() == lower
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -184,6 +184,9 @@
         added.append((b"Tenant", request.workspace))
     if request.resume_after is not None:
         added.append((b"Last-Event-Id", request.resume_after))
+    if request.fetch_from is not None:
+        source = f"{request.fetch_from.host}:{request.fetch_from.port}"
+        added.append((b"Kv-Fetch", source))
     if request.route.rule is RunRule.STREAM:
         added.append((b"Request-Priority", str(request.rank_order)))
     lines += [b"%b: %b\r\n" % (name, value.encode("latin-1")) for name, value in added]
--- a/bilberryspring/platform/documents.py
+++ b/bilberryspring/platform/documents.py
@@ -106,6 +106,7 @@
             cache_tokens=int(engine["kvTokens"]),
             # The tokens that one event of a stream holds.
             chunk_tokens=max(1, int(engine.get("stride", 1))),
+            can_fetch=bool(engine.get("moves", False)),
         ),
     )
 
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -35,6 +35,8 @@
 OUT_OF_ROTATION_S = 2.6
 # Work in progress ends this long before the platform ends the process.
 STOP_MARGIN_S = 0.4
+# No new connection is taken for so long before the end, so that answers can end.
+LAST_ANSWERS_S = 2.5
 POLL_S = 0.05
 FAULT_KINDS = {
     400: ErrorKind.MALFORMED_REQUEST,
@@ -207,12 +209,19 @@
         end_s = loop.time() + self._settings.stop_s - STOP_MARGIN_S
         self._policy.is_closing = True
         await asyncio.sleep(OUT_OF_ROTATION_S)
-        for listener in self._listeners:
-            listener.close()
+        # The balancer goes on sending callers if few machines of the zone are left.
         while self._connections and loop.time() < end_s:
             for connection in list(self._connections):
                 connection.close_if_idle()
+            if loop.time() >= end_s - LAST_ANSWERS_S:
+                self._stop_listening()
             await asyncio.sleep(POLL_S)
+        self._stop_listening()
+
+    def _stop_listening(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+        self._listeners.clear()
 
     async def close(self) -> None:
         """End every task and connection."""
--- a/bilberryspring/policy/direct_placing.py
+++ b/bilberryspring/policy/direct_placing.py
@@ -7,7 +7,7 @@
 parts anew elsewhere.
 """
 
-import math
+import heapq
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
@@ -16,7 +16,7 @@
 
 from bilberryspring.policy.registry import Registry, make_registry
 
-__all__ = ["DIRECT_PLACING", "ServerView", "choose_server", "find_home"]
+__all__ = ["DIRECT_PLACING", "ServerView", "choose_server", "rank_homes"]
 
 DEFAULT_DIRECT_PLACING = "shortest_start"
 # A pool that is nearly idle has a mean load near zero; these requests are always free.
@@ -87,19 +87,22 @@
     return DIRECT_PLACING[policy](bounded or views)
 
 
-def find_home(key: str, server_ids: Sequence[str]) -> str | None:
-    """Return the server that keeps the shared parts of a prompt.
+def rank_homes(key: str, server_ids: Sequence[str]) -> list[str]:
+    """Return the server that keeps the shared parts of a prompt, and the next one.
+
+    The next one kept them before the first one was listed, and keeps them when it is
+    gone.
 
     :param key: id of the last shared part.
     :param server_ids: servers of the pool.
-    :returns: the same one at every router that lists it; ``None`` without servers.
+    :returns: at most two, the same at every router that lists the same servers.
 
-    >>> find_home("5c1e07a2", ["b", "a"]) == find_home("5c1e07a2", ["a", "b", "c"])
+    >>> rank_homes("5c1e07a2", ["b", "a"]) == rank_homes("5c1e07a2", ["a", "b"])
     True
     """
-    return max(server_ids, key=lambda each: _score(key, each), default=None)
+    return heapq.nlargest(2, server_ids, key=lambda each: _score(key, each))
 
 
 @lru_cache(maxsize=65_536)
-def _score(key: str, server_id: str) -> float:
-    return xxhash.xxh3_64_intdigest(f"{key}/{server_id}".encode()) / math.pow(2, 64)
+def _score(key: str, server_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}/{server_id}".encode())
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -1,5 +1,6 @@
 """What a router knows of each backend server that it may send requests to."""
 
+import time
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -40,6 +41,7 @@
 class ServerRecord:
     """One backend server as this router sees it.
 
+    :param listed_s: when it was first listed, monotonic time.
     :param requests: requests of this router that it has.
     :param prompt_tokens: tokens that it is yet to read for them.
     :param held_tokens: tokens that they take in its memory, read and generated.
@@ -50,6 +52,7 @@
     """
 
     server: BackendServer
+    listed_s: float = 0.0
     requests: int = 0
     prompt_tokens: int = 0
     held_tokens: int = 0
@@ -90,7 +93,7 @@
         """
         age_s = max(0.0, now_s - self.slowness_sampled_s)
         weight = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
-        return self.slowness ** weight if self.slowness > 1 else self.slowness
+        return self.slowness**weight if self.slowness > 1 else self.slowness
 
     def count_cached(self, prompt: Prompt) -> int:
         """Return the tokens at a prompt's begin that were sent there before.
@@ -182,7 +185,7 @@
         if known is not None and known.server == server:
             return
         if known is None or _is_other_start(known.server, server):
-            self.records[server.server_id] = ServerRecord(server)
+            self.records[server.server_id] = ServerRecord(server, time.monotonic())
         else:
             known.server = server
         log_event(
--- a/bilberryspring/request/direct_queue.py
+++ b/bilberryspring/request/direct_queue.py
@@ -8,14 +8,14 @@
 from bilberryspring.capability.routing import (
     IncomingRequest,
     PoolLimits,
-
+    Prompt,
 )
 from bilberryspring.identifiers import AvailabilityZone, PoolName
 from bilberryspring.policy.direct_placing import (
     DEFAULT_DIRECT_PLACING,
     ServerView,
     choose_server,
-    find_home,
+    rank_homes,
 )
 from bilberryspring.process.clock import read_elapsed_s
 from bilberryspring.process.server_table import ServerRecord, ServerTable
@@ -32,6 +32,14 @@
 # Plain services start from this time for a request; measured times replace it.
 SERVICE_TIME_S = 0.1
 SERVICE_TIME_WEIGHT = 0.05
+# Engines send each other a token's memory in about half the time of reading it.
+FETCHED_TOKENS_PER_S = 250_000.0
+FETCH_START_S = 0.003
+# Shared parts that a server lacks count so many times their time: reading or moving
+# them delays every request that runs there, and takes memory twice.
+MISSING_WEIGHT = 4.0
+# A server listed for less may lack parts whose home it has become.
+SETTLED_S = 15.0
 # Part of an engine's memory that is given out; shared parts need the rest.
 MEMORY_SHARE = 0.85
 # Requests that a plain server holds beyond its slots, so that it never idles.
@@ -49,12 +57,16 @@
     :param held_tokens: tokens that it takes in the server's memory.
     :param expected_s: predicted time to the first part of the answer, at a server of
         the usual speed.
+    :param missing_s: part of that time for shared parts which the server lacks.
+    :param fetch_from: engine that has such parts.
     """
 
     record: ServerRecord
     prompt_tokens: int
     held_tokens: int
     expected_s: float
+    missing_s: float = 0.0
+    fetch_from: ServerRecord | None = None
     has_begun: bool = False
 
     def begin(self) -> None:
@@ -209,10 +221,10 @@
             return make_failure(ErrorKind.NO_INSTANCE, reason, retry_after_s=0.5)
         sound = [r for r in untried if not r.is_avoided(now_s)]
         records = sound or untried
-        home = _find_home(request, ready)
+        homes = _find_homes(request, ready)
         views, places = [], {}
         for record in records:
-            place = self._plan(record, request, pool, home)
+            place = self._plan(record, request, pool, homes, now_s)
             if not _has_room(record, place, pool):
                 continue
             slowness = record.read_slowness(now_s)
@@ -230,6 +242,8 @@
         record.requests += 1
         record.prompt_tokens += place.prompt_tokens
         record.held_tokens += place.held_tokens
+        source = place.fetch_from
+        request.fetch_from = None if source is None else source.server
         return place
 
     def _plan(
@@ -237,19 +251,52 @@
         record: ServerRecord,
         request: IncomingRequest,
         pool: PoolLimits,
-        home: str | None,
+        homes: list[ServerRecord],
+        now_s: float,
     ) -> Place:
         prompt = request.prompt
         if prompt is None or pool.engine is None:
             return Place(record, 0, 0, self.expect_service_s(pool.name))
-        cached = record.count_cached(prompt)
-        if record.server.server_id == home:
-            cached = max(cached, sum(part.tokens for part in prompt.parts[:-1]))
-        to_read = max(prompt.input_tokens - cached, 0)
+        shared = sum(part.tokens for part in prompt.parts[:-1])
+        known = record.count_cached(prompt)
+        is_home = bool(homes) and record is homes[0]
+        cached = max(known, shared) if is_home else known
+        source = None
+        if pool.engine.can_fetch and known < shared:
+            source = self._find_source(record, known, prompt, homes, now_s)
+        missing = max(shared - cached, 0)
+        own = max(prompt.input_tokens - max(cached, shared), 0)
+        if source is not None:
+            missing_s = FETCH_START_S + missing / FETCHED_TOKENS_PER_S
+            to_read = own
+        else:
+            missing_s = missing / PROMPT_TOKENS_PER_S
+            to_read = own + missing
         held = prompt.input_tokens + (prompt.hinted_tokens or prompt.output_tokens)
-        return Place(
-            record, to_read, held, ENGINE_START_S + to_read / PROMPT_TOKENS_PER_S
-        )
+        expected_s = ENGINE_START_S + own / PROMPT_TOKENS_PER_S + missing_s
+        return Place(record, to_read, held, expected_s, missing_s, source)
+
+    def _find_source(
+        self,
+        record: ServerRecord,
+        known: int,
+        prompt: Prompt,
+        homes: list[ServerRecord],
+        now_s: float,
+    ) -> ServerRecord | None:
+        """Return an engine that probably has more of a prompt's shared parts."""
+        for home in homes:
+            if home is record:
+                if now_s - record.listed_s > SETTLED_S:
+                    break
+                continue
+            if not home.is_avoided(now_s):
+                return home
+        others = self._servers.list_ready(record.server.pool)
+        best = max(others, key=lambda each: each.count_cached(prompt), default=None)
+        if best is None or best is record or best.is_avoided(now_s):
+            return None
+        return best if best.count_cached(prompt) > known else None
 
     def _predict_start(
         self, record: ServerRecord, place: Place, pool: PoolLimits
@@ -260,6 +307,7 @@
         ahead = record.prompt_tokens + record.peers.prompt_tokens
         return (
             place.expected_s
+            + place.missing_s * (MISSING_WEIGHT - 1.0)
             + ahead / PROMPT_TOKENS_PER_S
             + record.all_requests * RUNNING_COST_S
         )
@@ -274,12 +322,15 @@
     return record.all_requests < pool.engine.slots
 
 
-def _find_home(request: IncomingRequest, ready: list[ServerRecord]) -> str | None:
+def _find_homes(
+    request: IncomingRequest, ready: list[ServerRecord]
+) -> list[ServerRecord]:
     prompt = request.prompt
     if prompt is None or not prompt.parts:
-        return None
+        return []
     key = prompt.parts[-2 if len(prompt.parts) > 1 else -1].part_id
-    return find_home(key, [record.server.server_id for record in ready])
+    records = {record.server.server_id: record for record in ready}
+    return [records[server_id] for server_id in rank_homes(key, list(records))]
 
 
 def make_dispatcher(
