Let no server that left during an outage get work for more than the bound

Change: held until 1.9 s after the return, at most nine tenths of the bound, checked by its own task.

--- a/bilberryspring/platform/feeds.py
+++ b/bilberryspring/platform/feeds.py
@@ -28,8 +28,11 @@
 SERVER_WAIT_S = 1.0
 RETRY_S = 0.15
 # Servers whose entries lapsed while the store was away write them again in about two
-# seconds of its return.
-LAPSED_GRACE_S = 2.3
+# seconds of its return; one that left meanwhile must get nothing after that.
+LAPSED_GRACE_S = 1.9
+# Part of the time in which a leaving server must get no more work.
+LEAVING_SHARE = 0.9
+LAPSE_CHECK_S = 0.1
 
 
 async def follow_prefix(
@@ -132,11 +135,17 @@
     :param store: client of the store.
     :param servers: table to keep.
     :param changed: called after each change.
+    :param leaving_s: time after which a server that has left must get no more work.
     """
 
     def __init__(
-        self, store: MetadataStore, servers: ServerTable, changed: Callable[[], None]
+        self,
+        store: MetadataStore,
+        servers: ServerTable,
+        changed: Callable[[], None],
+        leaving_s: float,
     ):
+        self._leaving_s = leaving_s * LEAVING_SHARE
         self._store = store
         self._servers = servers
         self._changed = changed
@@ -163,8 +172,20 @@
             self._returned_s = now_s
             log_event("dependency_regained", dependency="store")
         self._is_away = not answers
+
+    async def watch_lapsed(self) -> None:
+        """Forget servers whose lapsed entries did not come back, until cancelled."""
+        while True:
+            await asyncio.sleep(LAPSE_CHECK_S)
+            self.forget_lapsed(time.monotonic())
+
+    def forget_lapsed(self, now_s: float) -> None:
+        """Forget servers whose lapsed entries did not come back in time.
+
+        :param now_s: monotonic time.
+        """
         for server_id, until_s in list(self._lapsed.items()):
-            if answers and now_s >= until_s:
+            if now_s >= until_s:
                 del self._lapsed[server_id]
                 self._servers.remove(server_id, "its entry did not come back")
                 self._changed()
@@ -194,9 +215,9 @@
         self._changed()
 
     def _lose(self, server_id: InstanceId) -> None:
-        since_return_s = time.monotonic() - self._returned_s
-        if self._returned_s and since_return_s < LAPSED_GRACE_S:
-            until_s = self._returned_s + LAPSED_GRACE_S
+        now_s = time.monotonic()
+        until_s = min(self._returned_s + LAPSED_GRACE_S, now_s + self._leaving_s)
+        if self._returned_s and now_s < until_s:
             self._lapsed.setdefault(server_id, until_s)
         else:
             self._servers.remove(server_id, "its entry is gone")
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -94,7 +94,10 @@
         )
         self._configuration_feed = ConfigurationFeed(self._store, self._adopt)
         self._server_feed = ServerFeed(
-            self._store, self._servers, self._dispatcher.serve_all_waiting
+            self._store,
+            self._servers,
+            self._dispatcher.serve_all_waiting,
+            settings.leaving_s,
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
@@ -122,6 +125,7 @@
         for run in (
             self._configuration_feed.run,
             self._server_feed.run,
+            self._server_feed.watch_lapsed,
             self._keep_up,
         ):
             self._tasks.append(loop.create_task(self._guard(run)))
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -59,6 +59,7 @@
     :param caller_address: where callers connect.
     :param readiness_address: where the balancer asks whether callers may come.
     :param peer_port: port for datagrams between routers.
+    :param leaving_s: time after which a leaving server must get no more work.
     :param stop_s: time between the order to stop and the end by force.
     :param retry_ratio: most further sends for each request, over all routers.
     :param retry_extra: further sends beyond the ratio in a window, over all routers.
@@ -73,6 +74,7 @@
     peer_port: int
     store_address: str
     least_lease_s: float
+    leaving_s: float
     stop_s: float
     retry_ratio: float
     retry_extra: float
@@ -111,6 +113,7 @@
         peer_port=found.internal_ports[0],
         store_address=found.platform.address,
         least_lease_s=found.platform.min_ttl_ms / 1000,
+        leaving_s=bounds.drain_ms / 1000,
         stop_s=bounds.grace_s,
         retry_ratio=bounds.retry_budget_ratio,
         retry_extra=bounds.budget_extra,
