Let routers tell each other their loads, suspicions and the configuration

Cause: a router knew of others' load only what servers told with an answer, found each lost server itself, and had no configuration while the store was down or cut off.

--- /dev/null
+++ b/bilberryspring/connection/router_reports.capnp
@@ -0,0 +1,31 @@
+@0xd3a1f0c27be94c15;
+
+# What routers that call backend servers themselves tell each other.
+
+struct RouterReport {
+  sender @0 :Text;
+  startedAtMs @1 :UInt64;
+  sequence @2 :UInt32;
+  configVersion @3 :Int64;
+  peers @4 :UInt16;
+  loads @5 :List(RouterLoad);
+}
+
+struct RouterLoad {
+  server @0 :UInt64;
+  requests @1 :UInt16;
+  promptTokens @2 :UInt32;
+  heldTokens @3 :UInt32;
+  isSuspected @4 :Bool;
+}
+
+struct Snapshot {
+  entries @0 :List(SnapshotEntry);
+  serversAgeMs @1 :Int64;
+}
+
+struct SnapshotEntry {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
--- a/bilberryspring/platform/feeds.py
+++ b/bilberryspring/platform/feeds.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from bilberryspring.capability.routing import RoutingTable
+from bilberryspring.connection.router_reports import SnapshotEntry
 from bilberryspring.identifiers import InstanceId
 from bilberryspring.platform.documents import decode_routing_table, decode_server
 from bilberryspring.platform.metadata_store import (
@@ -33,6 +34,8 @@
 # Part of the time in which a leaving server must get no more work.
 LEAVING_SHARE = 0.9
 LAPSE_CHECK_S = 0.1
+# Time without the store's word after which other routers are asked.
+STALE_S = 2.5
 
 
 async def follow_prefix(
@@ -99,6 +102,14 @@
         self._store = store
         self._adopt = adopt
         self._version = -1
+        self.entry: SnapshotEntry | None = None
+
+    def take_entry(self, entry: SnapshotEntry) -> None:
+        """Take the configuration as another router has it.
+
+        :param entry: entry of the store, told by that router.
+        """
+        self._change(StoreItem(entry.key, entry.value, entry.revision))
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
@@ -126,6 +137,7 @@
         if table.version <= self._version:
             return
         self._version = table.version
+        self.entry = SnapshotEntry(item.key, item.value, item.revision)
         self._adopt(table)
 
 
@@ -152,7 +164,38 @@
         self._is_away = False
         self._returned_s = 0.0
         self._lapsed: dict[InstanceId, float] = {}
-        self.has_listed = False
+        self._confirmed_s: float | None = None
+        self.entries: dict[InstanceId, SnapshotEntry] = {}
+
+    @property
+    def has_listed(self) -> bool:
+        """Whether any list of servers was ever taken."""
+        return self._confirmed_s is not None
+
+    @property
+    def age_s(self) -> float:
+        """Time since the store, or a router that it answers, confirmed the list."""
+        if self._confirmed_s is None:
+            return -1.0
+        return time.monotonic() - self._confirmed_s
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether other routers may know better."""
+        return not self.has_listed or self.age_s > STALE_S
+
+    def take_entries(self, entries: Iterable[SnapshotEntry], age_s: float) -> None:
+        """Take the servers as another router has them, if it knows better.
+
+        :param entries: entries of the store, told by that router.
+        :param age_s: time since the store confirmed them.
+        """
+        if age_s < 0 or (self.has_listed and age_s >= self.age_s):
+            return
+        self._replace(
+            StoreItem(entry.key, entry.value, entry.revision) for entry in entries
+        )
+        self._confirmed_s = time.monotonic() - age_s
 
     async def run(self) -> None:
         """Follow the entries until cancelled."""
@@ -172,6 +215,8 @@
             self._returned_s = now_s
             log_event("dependency_regained", dependency="store")
         self._is_away = not answers
+        if answers and self._confirmed_s is not None:
+            self._confirmed_s = now_s
 
     async def watch_lapsed(self) -> None:
         """Forget servers whose lapsed entries did not come back, until cancelled."""
@@ -195,16 +240,20 @@
         for item in items:
             listed.add(_read_id(item.key))
             self._change(item)
+        for server_id in [each for each in self.entries if each not in listed]:
+            del self.entries[server_id]
         for server_id in [each for each in self._servers.records if each not in listed]:
             self._lose(server_id)
-        self.has_listed = True
+        self._confirmed_s = time.monotonic()
         self._changed()
 
     def _change(self, item: StoreItem) -> None:
         server_id = _read_id(item.key)
         if item.value is None:
+            self.entries.pop(server_id, None)
             self._lose(server_id)
         else:
+            self.entries[server_id] = SnapshotEntry(item.key, item.value, item.revision)
             server = decode_server(server_id, item.value)
             self._lapsed.pop(server_id, None)
             if isinstance(server, Failure):
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -10,16 +10,23 @@
 from bilberryspring import __version__
 from bilberryspring.capability.routing import CallerLimits, RoutingTable
 from bilberryspring.connection.http_caller import CallerConnection, HttpRequest
-from bilberryspring.identifiers import AvailabilityZone, PoolName
+from bilberryspring.connection.router_reports import Snapshot
+from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName
 from bilberryspring.platform.backend_calls import make_server_calls
 from bilberryspring.platform.caller_edge import decode_request, make_edge_answer
-from bilberryspring.platform.feeds import ConfigurationFeed, ServerFeed
+from bilberryspring.platform.feeds import (
+    CONFIGURATION_KEY,
+    ConfigurationFeed,
+    ServerFeed,
+)
 from bilberryspring.platform.metadata_store import make_metadata_store
+from bilberryspring.platform.router_directory import make_router_directory
 from bilberryspring.platform.settings_file import (
     MachineSettings,
     load_machine_settings,
 )
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
+from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
 from bilberryspring.process.settings import split_address
 from bilberryspring.request.direct_queue import make_dispatcher
@@ -99,6 +106,23 @@
             self._dispatcher.serve_all_waiting,
             settings.leaving_s,
         )
+        self._peers = make_router_peers(
+            InstanceId(settings.instance_id),
+            settings.ip,
+            settings.peer_port,
+            self._servers,
+            lambda: -1 if self._table is None else self._table.version,
+            self._make_snapshot,
+            lambda: self._server_feed.is_stale,
+            self._take_snapshot,
+        )
+        self._peers.add_addresses(list(settings.seed_ips))
+        self._directory = make_router_directory(
+            self._store,
+            InstanceId(settings.instance_id),
+            settings.ip,
+            self._peers.add_addresses,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
 
@@ -122,10 +146,13 @@
                 backlog=BACKLOG,
             )
             self._listeners.append(listener)
+        await self._peers.start()
         for run in (
             self._configuration_feed.run,
             self._server_feed.run,
             self._server_feed.watch_lapsed,
+            self._peers.run,
+            self._directory.run,
             self._keep_up,
         ):
             self._tasks.append(loop.create_task(self._guard(run)))
@@ -142,8 +169,25 @@
         while True:
             await asyncio.sleep(UPKEEP_S)
             self._calls.close_idle()
+            self._budget.routers = self._peers.count_routers()
             self._dispatcher.serve_all_waiting()
 
+    def _make_snapshot(self) -> Snapshot:
+        entries = list(self._server_feed.entries.values())
+        if self._configuration_feed.entry is not None:
+            entries.append(self._configuration_feed.entry)
+        return Snapshot(tuple(entries), self._server_feed.age_s)
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        servers = []
+        for entry in snapshot.entries:
+            if entry.key == CONFIGURATION_KEY:
+                self._configuration_feed.take_entry(entry)
+            else:
+                servers.append(entry)
+        if self._server_feed.is_stale:
+            self._server_feed.take_entries(servers, snapshot.servers_age_s)
+
     def _adopt(self, table: RoutingTable) -> None:
         self._table = table
         self._policy.apply(table.limits)
@@ -232,6 +276,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._peers.close()
+        await self._directory.leave()
         self._calls.close()
         self._store.close()
 
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic.alias_generators import to_camel
 
-from bilberryspring.process.settings import Address
+from bilberryspring.process.settings import Address, split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = ["MachineSettings", "load_machine_settings", "SETTINGS_VARIABLE"]
@@ -48,6 +48,7 @@
     region: str = ""
     internal_ports: tuple[int, int]
     listen: _Listen
+    seeds: tuple[Address, ...] = ()
     bounds: _Bounds = _Bounds()
     platform: _Store
 
@@ -59,6 +60,7 @@
     :param caller_address: where callers connect.
     :param readiness_address: where the balancer asks whether callers may come.
     :param peer_port: port for datagrams between routers.
+    :param seed_ips: machines on which other routers may run; they may be gone.
     :param leaving_s: time after which a leaving server must get no more work.
     :param stop_s: time between the order to stop and the end by force.
     :param retry_ratio: most further sends for each request, over all routers.
@@ -72,6 +74,7 @@
     caller_address: str
     readiness_address: str
     peer_port: int
+    seed_ips: tuple[str, ...]
     store_address: str
     least_lease_s: float
     leaving_s: float
@@ -111,6 +114,8 @@
         caller_address=found.listen.front,
         readiness_address=found.listen.ready,
         peer_port=found.internal_ports[0],
+        # Of other routers; one port is the same on all machines, and not this one.
+        seed_ips=tuple(split_address(seed)[0] for seed in found.seeds),
         store_address=found.platform.address,
         least_lease_s=found.platform.min_ttl_ms / 1000,
         leaving_s=bounds.drain_ms / 1000,
--- /dev/null
+++ b/bilberryspring/process/router_peers.py
@@ -0,0 +1,331 @@
+"""What routers tell each other: their loads at servers, and what the store told them.
+
+Each router sends a short report to a bounded number of others, so the cost of a router
+does not grow with the fleet; where a router hears only a part of the others, it counts
+what it hears for all of them. A router that is behind, or that does not reach the
+store, asks another one for a snapshot.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bilberryspring.connection.load_messages import hash_name
+from bilberryspring.connection.router_reports import (
+    MAX_LOADS,
+    MAX_SNAPSHOT_BYTES,
+    RouterLoad,
+    RouterReport,
+    Snapshot,
+    decode_report,
+    decode_snapshot,
+    encode_report,
+    encode_snapshot,
+)
+from bilberryspring.identifiers import InstanceId
+from bilberryspring.process.logs import log_event
+from bilberryspring.process.server_table import PeerLoad, ServerTable
+from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+
+__all__ = ["PeerView", "RouterPeers", "make_router_peers"]
+
+REPORT_S = 0.25
+# With reports of some 500 bytes, 10 KB/s of control bytes at the most.
+MAX_PARTNERS = 5
+# A router that was not heard for so long has no load any more.
+REPORT_LIFE_S = 1.5
+# A router that was not heard for so long is forgotten as a partner.
+PEER_LIFE_S = 10.0
+# A server that this router heard lately is not avoided on another one's word.
+TRUST_S = 0.3
+AVOID_ON_WORD_S = 1.0
+# How long a router may be behind before it asks another one.
+BEHIND_S = 0.3
+SNAPSHOT_TIMEOUT_S = 2.0
+SNAPSHOT_EVERY_S = 1.0
+_LENGTH_BYTES = 4
+
+
+@dataclass(slots=True)
+class PeerView:
+    """What is known of another router.
+
+    :param heard_s: when its last report came, zero for never.
+    """
+
+    ip: str
+    heard_s: float = 0.0
+    report: RouterReport | None = None
+
+
+class RouterPeers(asyncio.DatagramProtocol):
+    """Exchanges reports, and gives and takes snapshots.
+
+    :param instance_id: this router.
+    :param ip: its own address.
+    :param port: port of all routers, for datagrams and for snapshots.
+    :param servers: table that the loads of others are noted in.
+    :param read_version: returns the version in force here, -1 for none.
+    :param make_snapshot: returns what this router knows.
+    :param needs_servers: returns whether the store has not told of servers lately.
+    :param take_snapshot: takes what another router knows.
+    """
+
+    def __init__(
+        self,
+        instance_id: InstanceId,
+        ip: str,
+        port: int,
+        servers: ServerTable,
+        read_version: Callable[[], int],
+        make_snapshot: Callable[[], Snapshot],
+        needs_servers: Callable[[], bool],
+        take_snapshot: Callable[[Snapshot], None],
+    ):
+        self._instance_id = instance_id
+        self._ip = ip
+        self._port = port
+        self._servers = servers
+        self._read_version = read_version
+        self._make_snapshot = make_snapshot
+        self._needs_servers = needs_servers
+        self._take_snapshot = take_snapshot
+        self._started_at_ms = round(time.time() * 1000)
+        self._sequence = 0
+        self._views: dict[str, PeerView] = {}
+        self._added: dict[str, float] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._listener: asyncio.Server | None = None
+        self._asked_s = 0.0
+        self._behind_since_s: float | None = None
+
+    async def start(self) -> None:
+        """Listen for reports and for those who ask for a snapshot.
+
+        :raises OSError: if the port cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._ip, self._port)
+        )
+        self._listener = await asyncio.start_server(
+            self._give_snapshot, self._ip, self._port
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    def add_addresses(self, ips: list[str]) -> None:
+        """Take addresses at which routers may be.
+
+        :param ips: IP numbers; those where none answers are forgotten.
+        """
+        now_s = time.monotonic()
+        for ip in ips:
+            if ip != self._ip:
+                self._added[ip] = now_s
+
+    def count_routers(self) -> int:
+        """Return how many routers there probably are, this one included."""
+        now_s = time.monotonic()
+        heard = self._list_heard(now_s, PEER_LIFE_S)
+        told = [view.report.peers for view in heard]
+        return max([len(heard) + 1, *(min(each, 4096) for each in told)])
+
+    def error_received(self, exc: OSError) -> None:
+        """Ignore that a router does not listen; it will not be heard either."""
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        """Take a report.
+
+        :param data: the datagram.
+        :param address: where it came from.
+        """
+        report = decode_report(data)
+        if isinstance(report, Failure):
+            log_event("bad_frame", level="WARNING", peer=address[0], why=report.reason)
+            return
+        if report.sender == self._instance_id:
+            return
+        view = self._views.setdefault(address[0], PeerView(address[0]))
+        known = view.report
+        if known is not None and (report.started_at_ms, report.sequence) <= (
+            known.started_at_ms,
+            known.sequence,
+        ):
+            return
+        view.report = report
+        view.heard_s = time.monotonic()
+
+    async def run(self) -> None:
+        """Send reports and take in those of others, until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_S * random.uniform(0.9, 1.1))
+            now_s = time.monotonic()
+            self._forget(now_s)
+            self._send(now_s)
+            self._note_loads(now_s)
+            await self._catch_up(now_s)
+
+    def _forget(self, now_s: float) -> None:
+        for ip, view in list(self._views.items()):
+            if now_s - view.heard_s > PEER_LIFE_S:
+                del self._views[ip]
+        for ip, added_s in list(self._added.items()):
+            if now_s - added_s > PEER_LIFE_S:
+                del self._added[ip]
+
+    def _send(self, now_s: float) -> None:
+        targets = list({*self._views, *self._added})
+        if len(targets) > MAX_PARTNERS:
+            targets = random.sample(targets, MAX_PARTNERS)
+        if not targets or self._transport is None or self._transport.is_closing():
+            return
+        loads = [
+            RouterLoad(
+                hash_name(server_id),
+                record.requests,
+                max(record.prompt_tokens, 0),
+                max(record.held_tokens, 0),
+                record.is_suspected_here(now_s),
+            )
+            for server_id, record in self._servers.records.items()
+            if record.requests or record.is_suspected_here(now_s)
+        ]
+        loads.sort(key=lambda load: (not load.is_suspected, -load.requests))
+        self._sequence += 1
+        data = encode_report(
+            RouterReport(
+                self._instance_id,
+                self._started_at_ms,
+                self._sequence,
+                self._read_version(),
+                self.count_routers(),
+                tuple(loads[:MAX_LOADS]),
+            )
+        )
+        for ip in targets:
+            self._transport.sendto(data, (ip, self._port))
+
+    def _list_heard(self, now_s: float, life_s: float) -> list[PeerView]:
+        return [
+            view
+            for view in self._views.values()
+            if view.report is not None and now_s - view.heard_s <= life_s
+        ]
+
+    def _note_loads(self, now_s: float) -> None:
+        # Of many routers each is heard seldom; the loads heard stand for all.
+        life_s = max(REPORT_LIFE_S, len(self._views) / MAX_PARTNERS * REPORT_S * 2)
+        heard = self._list_heard(now_s, life_s)
+        if not heard:
+            return
+        scale = max(1.0, (self.count_routers() - 1) / len(heard))
+        sums: dict[int, list[float]] = {}
+        for view in heard:
+            for load in view.report.loads:
+                total = sums.setdefault(load.server, [0.0, 0.0, 0.0])
+                total[0] += load.requests
+                total[1] += load.prompt_tokens
+                total[2] += load.held_tokens
+                if load.is_suspected and now_s - view.heard_s <= 2 * REPORT_S:
+                    self._avoid(load.server, view, now_s)
+        for server_id, record in self._servers.records.items():
+            total = sums.get(hash_name(server_id), (0.0, 0.0, 0.0))
+            record.peers = PeerLoad(*(each * scale for each in total))
+
+    def _avoid(self, server: int, view: PeerView, now_s: float) -> None:
+        for server_id, record in self._servers.records.items():
+            if hash_name(server_id) == server:
+                if now_s - record.heard_s > TRUST_S:
+                    record.avoid_on_word(now_s + AVOID_ON_WORD_S, view.report.sender)
+                return
+
+    async def _catch_up(self, now_s: float) -> None:
+        heard = self._list_heard(now_s, REPORT_LIFE_S)
+        ahead = [v for v in heard if v.report.config_version > self._read_version()]
+        if ahead:
+            self._behind_since_s = self._behind_since_s or now_s
+        else:
+            self._behind_since_s = None
+        is_behind = bool(ahead) and now_s - self._behind_since_s >= BEHIND_S
+        candidates = ahead if is_behind else heard if self._needs_servers() else []
+        if not candidates or now_s - self._asked_s < SNAPSHOT_EVERY_S:
+            return
+        self._asked_s = now_s
+        view = random.choice(candidates)
+        snapshot = await self._ask_snapshot(view.ip)
+        if isinstance(snapshot, Failure):
+            log_event("call_failed", level="WARNING", error=snapshot.reason)
+            return
+        self._take_snapshot(snapshot)
+
+    async def _ask_snapshot(self, ip: str) -> Snapshot | Failure:
+        writer = None
+        try:
+            async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(ip, self._port)
+                header = await reader.readexactly(_LENGTH_BYTES)
+                length_bytes = int.from_bytes(header, "big")
+                if length_bytes > MAX_SNAPSHOT_BYTES:
+                    reason = f"{length_bytes} bytes from {ip} are too many"
+                    return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
+                return decode_snapshot(await reader.readexactly(length_bytes))
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            reason = f"no snapshot from {ip}: {error!r}"
+            return make_failure(ErrorKind.PEER_UNREACHABLE, reason)
+        finally:
+            if writer is not None:
+                writer.close()
+
+    async def _give_snapshot(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            data = encode_snapshot(self._make_snapshot())
+            writer.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
+            async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
+                await writer.drain()
+        except (OSError, TimeoutError) as error:
+            log_event("call_failed", level="WARNING", error=repr(error))
+        finally:
+            writer.close()
+
+
+def make_router_peers(
+    instance_id: InstanceId,
+    ip: str,
+    port: int,
+    servers: ServerTable,
+    read_version: Callable[[], int],
+    make_snapshot: Callable[[], Snapshot],
+    needs_servers: Callable[[], bool],
+    take_snapshot: Callable[[Snapshot], None],
+) -> RouterPeers:
+    """Return an exchange that has not started.
+
+    :param instance_id: this router.
+    :param ip: its own address.
+    :param port: port of all routers, for datagrams and for snapshots.
+    :param servers: table that the loads of others are noted in.
+    :param read_version: returns the version in force here, -1 for none.
+    :param make_snapshot: returns what this router knows.
+    :param needs_servers: returns whether the store has not told of servers lately.
+    :param take_snapshot: takes what another router knows.
+    """
+    return RouterPeers(
+        instance_id,
+        ip,
+        port,
+        servers,
+        read_version,
+        make_snapshot,
+        needs_servers,
+        take_snapshot,
+    )
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -86,6 +86,30 @@
         """
         return now_s < self.avoided_until_s or self.is_silent(now_s)
 
+    def is_suspected_here(self, now_s: float) -> bool:
+        """Return whether this router itself saw it fail or fall silent.
+
+        :param now_s: monotonic time.
+        """
+        seen = self.failures > 0 and now_s < self.avoided_until_s
+        return seen or self.is_silent(now_s)
+
+    def avoid_on_word(self, until_s: float, sender: str) -> None:
+        """Avoid it because another router does.
+
+        :param until_s: monotonic time.
+        :param sender: the other router.
+        """
+        if until_s <= self.avoided_until_s:
+            return
+        if self.avoided_until_s < time.monotonic():
+            log_event(
+                "instance_suspected",
+                server=self.server.server_id,
+                reason=f"{sender} suspects it",
+            )
+        self.avoided_until_s = until_s
+
     def read_slowness(self, now_s: float) -> float:
         """Return its relative slowness, less as the last sample ages.
 
@@ -146,6 +170,7 @@
     def note_success(self) -> None:
         """Note an answer in order."""
         self.failures = 0
+        self.avoided_until_s = 0.0
 
     def note_failure(self, reason: str, now_s: float) -> None:
         """Avoid it for a while.
