--- /dev/null
+++ b/bilberryspring/capability/tests/test_routing.py
@@ -0,0 +1,53 @@
+from bilberryspring.capability.routing import (
+    CallerLimits,
+    DirectRoute,
+    RunRule,
+    find_route,
+    make_routing_table,
+)
+
+
+def make_route(name, host="a.example", prefix="/a/", **changes):
+    values = {
+        "name": name,
+        "host": host,
+        "path_prefix": prefix,
+        "rule": RunRule.ONCE,
+        "pools": (("desk", 1.0),),
+        "max_servers": 1,
+        "timeout_s": 1.0,
+        "target_s": 0.4,
+        "pause_target_s": 0.0,
+        "rank_order": 2,
+        "is_public": False,
+        "is_resumable": False,
+    }
+    return DirectRoute(**{**values, **changes})
+
+
+def make_table(*routes):
+    return make_routing_table(1, 1, list(routes), [], None, CallerLimits())
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    table = make_table(
+        make_route("short"),
+        make_route("long", prefix="/a/b/"),
+        make_route("other", host="b.example"),
+    )
+    assert find_route(table, "a.example", "/a/b/c").name == "long"
+    assert find_route(table, "A.example:8080", "/a/c").name == "short"
+    assert find_route(table, "b.example", "/a/b/c").name == "other"
+
+
+def test_a_path_that_only_resembles_a_prefix_has_no_route():
+    table = make_table(make_route("only"))
+    assert find_route(table, "a.example", "/ab") is None
+    assert find_route(table, "c.example", "/a/") is None
+
+
+def test_only_lookups_and_resumable_streams_may_be_repeated():
+    assert make_route("r", rule=RunRule.REPEATABLE).is_repeatable
+    assert make_route("r", rule=RunRule.STREAM, is_resumable=True).is_repeatable
+    assert not make_route("r", rule=RunRule.STREAM).is_repeatable
+    assert not make_route("r", is_resumable=True).is_repeatable
--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -43,6 +43,7 @@
     :param fault: status with which an unreadable request is refused, zero if it is
         whole.
     :param received_s: when its first byte was read.
+    :param is_last: the connection closes after its answer.
     """
 
     method: str
@@ -51,6 +52,7 @@
     body: bytes
     received_s: float
     fault: int = 0
+    is_last: bool = False
 
 
 Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
@@ -202,9 +204,8 @@
             headers=self._headers,
             body=b"".join(self._body),
             received_s=self._begun_s,
+            is_last=not self._parser.should_keep_alive(),
         )
-        if not self._parser.should_keep_alive():
-            self._must_close = True
         self._reset_message()
         if self._timer is not None:
             self._timer.cancel()
@@ -218,8 +219,7 @@
 
     def _refuse_input(self, status: int) -> None:
         self._is_broken = True
-        self._must_close = True
-        self._put(HttpRequest("", b"", [], b"", read_elapsed_s(), fault=status))
+        self._put(HttpRequest("", b"", [], b"", read_elapsed_s(), status, True))
 
     # The connection's task.
 
@@ -233,6 +233,7 @@
                     self._transport.resume_reading()
                 self._is_started = False
                 self._is_handling = True
+                self._must_close = self._must_close or request.is_last
                 await self._handle(request, self)
                 self._is_handling = False
                 if self._must_close or self._policy.is_closing and not self._requests:
--- /dev/null
+++ b/bilberryspring/connection/tests/test_router_reports.py
@@ -0,0 +1,52 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bilberryspring.connection.router_reports import (
+    MAX_LOADS,
+    MAX_REPORT_BYTES,
+    RouterLoad,
+    RouterReport,
+    Snapshot,
+    SnapshotEntry,
+    decode_report,
+    decode_snapshot,
+    encode_report,
+    encode_snapshot,
+)
+from bilberryspring.request.errors import Failure
+
+
+def make_report(loads):
+    return RouterReport("front-1", 1_700_000_000_000, 7, 12, 5, tuple(loads))
+
+
+def test_a_report_survives_its_encoding():
+    report = make_report([RouterLoad(2**63, 3, 4000, 5000, True)])
+    assert decode_report(encode_report(report)) == report
+
+
+def test_a_full_report_fits_one_datagram():
+    loads = [
+        RouterLoad(2**64 - 1 - i, 60_000, 2**31, 2**31, True)
+        for i in range(MAX_LOADS * 2)
+    ]
+    assert len(encode_report(make_report(loads))) <= MAX_REPORT_BYTES
+
+
+def test_a_snapshot_survives_its_encoding():
+    entries = (SnapshotEntry("op/config", b"{}", 9),)
+    snapshot = Snapshot(entries, 1.5)
+    assert decode_snapshot(encode_snapshot(snapshot)) == snapshot
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_a_report_or_a_failure(data):
+    assert isinstance(decode_report(data), RouterReport | Failure)
+    assert isinstance(decode_snapshot(data), Snapshot | Failure)
+
+
+@given(st.integers(0, 200), st.binary(min_size=1, max_size=8))
+def test_a_report_that_was_changed_on_its_way_is_no_defect(at, noise):
+    data = bytearray(encode_report(make_report([RouterLoad(1, 2, 3, 4)])))
+    data[at : at + len(noise)] = noise
+    assert isinstance(decode_report(bytes(data)), RouterReport | Failure)
