Test the adapter, the relay and the router as a process

Cause: the path on the platform had no tests of its own. A place given in the moment in which its waiter was cancelled was never given back (found by its test, which failed first); a stream whose server fell silent after its head did not count as waiting. Change: both mended; stand-ins of the store and of a server in platform/tests.

--- /dev/null
+++ b/bilberryspring/platform/tests/test_documents.py
@@ -0,0 +1,106 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bilberryspring.capability.routing import (
+    BackendServer,
+    RoutingTable,
+    RunRule,
+    find_route,
+)
+from bilberryspring.platform.documents import decode_routing_table, decode_server
+from bilberryspring.platform.tests.platform_standin import CONFIGURATION
+from bilberryspring.request.errors import Failure
+
+ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "state": "ready",
+    "seq": 1,
+}
+
+
+def test_a_configuration_is_decoded_with_its_units():
+    table = decode_routing_table(json.dumps(CONFIGURATION).encode(), 9)
+    draft = find_route(table, "a.example", "/drafts/x")
+    assert draft.rule is RunRule.STREAM and draft.is_resumable
+    assert (draft.timeout_s, draft.target_s, draft.pause_target_s) == (4.0, 0.4, 0.3)
+    assert table.keys["k2"].workspace == "ward" and table.keys["k2"].rank_order == 1
+    assert table.limits.idle_s == 5.0
+    assert (table.version, table.revision) == (3, 9)
+
+
+def test_an_engine_of_a_pool_is_decoded():
+    engine = {"slots": 64, "kvTokens": 1000, "stride": 9, "moves": True}
+    document = {**CONFIGURATION, "services": [{"name": "e", "engine": engine}]}
+    table = decode_routing_table(json.dumps(document).encode(), 1)
+    found = table.pools["e"].engine
+    assert (found.slots, found.cache_tokens, found.chunk_tokens) == (64, 1000, 9)
+    assert found.can_fetch
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"routes": [{"name": "x"}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "kind": "other"}]},
+        {"version": "x"},
+        {"services": [{}]},
+        {"limits": {"idleTimeoutMs": "soon"}},
+    ],
+)
+def test_a_configuration_with_a_wrong_part_is_refused_whole(change):
+    document = json.dumps({**CONFIGURATION, **change}).encode()
+    assert isinstance(decode_routing_table(document, 1), Failure)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"slots": "4"},
+        {"slots": 0},
+        {"slots": True},
+        {"service": 3},
+        {"address": "nowhere"},
+        {"address": "example.com:80"},
+        {"zone": None},
+    ],
+)
+def test_an_entry_with_a_wrong_field_names_no_server(change):
+    value = json.dumps({**ENTRY, **change}).encode()
+    assert isinstance(decode_server("i-1", value), Failure)
+
+
+def test_a_server_is_decoded():
+    server = decode_server("i-1", json.dumps({**ENTRY, "born": 5}).encode())
+    assert (server.server_id, server.host, server.port) == ("i-1", "127.0.0.1", 80)
+    assert server.is_ready and server.started_at_ms == 5
+    leaving = decode_server("i", json.dumps({**ENTRY, "state": "draining"}).encode())
+    assert not leaving.is_ready
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_decoded_or_refused(value):
+    assert isinstance(decode_routing_table(value, 1), RoutingTable | Failure)
+    assert isinstance(decode_server("i", value), BackendServer | Failure)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from([*ENTRY, *CONFIGURATION]), inner, max_size=4)
+    ),
+)
+
+
+@given(JSON)
+def test_any_document_is_decoded_or_refused(document):
+    value = json.dumps(document).encode()
+    assert isinstance(decode_routing_table(value, 1), RoutingTable | Failure)
+    assert isinstance(decode_server("i", value), BackendServer | Failure)
--- /dev/null
+++ b/bilberryspring/platform/tests/test_feeds.py
@@ -0,0 +1,172 @@
+import asyncio
+import json
+
+import pytest
+from aiohttp import web
+
+from bilberryspring.connection.router_reports import SnapshotEntry
+from bilberryspring.platform import feeds
+from bilberryspring.platform.feeds import ConfigurationFeed, ServerFeed
+from bilberryspring.platform.metadata_store import StoreItem, make_metadata_store
+from bilberryspring.platform.tests.platform_standin import (
+    CONFIGURATION,
+    ServerStandin,
+    StoreStandin,
+)
+from bilberryspring.process.server_table import make_server_table
+
+ENTRY = ServerStandin().describe()
+
+
+async def wait_for(condition, timeout_s=3.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class Rig:
+    def __init__(self):
+        self.store = StoreStandin()
+        self.tables = []
+        self.servers = make_server_table()
+        self.tasks = []
+
+    async def start(self):
+        await self.store.start()
+        self.client = make_metadata_store(self.store.address)
+        self.configuration = ConfigurationFeed(self.client, self.tables.append)
+        self.feed = ServerFeed(self.client, self.servers, lambda: None, 2.0)
+        for run in (
+            self.configuration.run,
+            self.feed.run,
+            self.feed.watch_lapsed,
+        ):
+            self.tasks.append(asyncio.create_task(run()))
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.client.close()
+        await self.store.close()
+
+    def lists(self, server_id="s1"):
+        return server_id in self.servers.records
+
+
+@pytest.fixture
+async def rig():
+    rig = Rig()
+    await rig.start()
+    yield rig
+    await rig.close()
+
+
+async def test_a_configuration_is_adopted_and_never_an_older_one(rig):
+    await rig.store.put("op/config", CONFIGURATION)
+    await wait_for(lambda: rig.tables)
+    await rig.store.put("op/config", {**CONFIGURATION, "version": 2})
+    await rig.store.put("op/config", b"not a document")
+    await rig.store.put("op/config", {**CONFIGURATION, "version": 8})
+    await wait_for(lambda: len(rig.tables) == 2)
+    assert [table.version for table in rig.tables] == [3, 8]
+
+
+async def test_a_configuration_of_another_router_is_adopted_if_it_is_newer(rig):
+    await rig.store.put("op/config", CONFIGURATION)
+    await wait_for(lambda: rig.tables)
+    for version in (2, 9):
+        value = json.dumps({**CONFIGURATION, "version": version}).encode()
+        rig.configuration.take_entry(SnapshotEntry("op/config", value, 50))
+    assert [table.version for table in rig.tables] == [3, 9]
+
+
+async def test_servers_come_leave_and_go(rig):
+    await rig.store.put("servers/s1", ENTRY)
+    await wait_for(lambda: rig.servers.list_ready("desk"))
+    await rig.store.put("servers/s1", {**ENTRY, "state": "draining"})
+    await wait_for(lambda: not rig.servers.list_ready("desk"))
+    assert rig.lists()
+    await rig.store.put("servers/s1", None)
+    await wait_for(lambda: not rig.lists())
+
+
+async def test_an_entry_that_cannot_be_read_names_no_server(rig):
+    await rig.store.put("servers/s1", ENTRY)
+    await rig.store.put("servers/s2", ENTRY)
+    await wait_for(lambda: rig.lists("s2"))
+    await rig.store.put("servers/s1", b"\xff")
+    await wait_for(lambda: not rig.lists())
+    assert rig.lists("s2")
+
+
+async def test_dropped_history_leads_to_a_whole_list(rig):
+    await rig.store.put("servers/s1", ENTRY)
+    await wait_for(rig.lists)
+    rig.store.oldest = 10**6
+    rig.store.items.clear()
+    await wait_for(lambda: not rig.lists())
+
+
+async def outage(rig):
+    await rig.store.put("servers/s1", ENTRY)
+    await wait_for(rig.lists)
+    rig.store.fault = lambda request: web.Response(status=503)
+    await wait_for(lambda: rig.feed._is_away)
+
+
+async def test_servers_stay_listed_while_the_store_is_away(rig):
+    await outage(rig)
+    await rig.store.put("servers/s1", None)
+    await asyncio.sleep(0.5)
+    assert rig.lists()
+
+
+async def test_a_lapsed_entry_that_comes_back_was_never_gone(rig):
+    await outage(rig)
+    await rig.store.put("servers/s1", None)
+    rig.store.fault = lambda request: None
+    await wait_for(lambda: rig.feed._lapsed)
+    await asyncio.sleep(0.8)
+    assert rig.lists()
+    await rig.store.put("servers/s1", ENTRY)
+    await asyncio.sleep(2.0)
+    assert rig.lists()
+
+
+async def test_a_lapsed_entry_that_stays_away_is_gone_within_the_bound(rig):
+    await outage(rig)
+    rig.store.fault = lambda request: None
+    await wait_for(lambda: not rig.feed._is_away)
+    await asyncio.sleep(0.3)
+    begun_s = asyncio.get_running_loop().time()
+    await rig.store.put("servers/s1", None)
+    await wait_for(lambda: not rig.lists())
+    assert asyncio.get_running_loop().time() - begun_s < 2.0
+
+
+async def test_a_server_that_leaves_long_after_an_outage_goes_at_once(rig):
+    await outage(rig)
+    rig.store.fault = lambda request: None
+    await wait_for(lambda: not rig.feed._is_away)
+    rig.feed._returned_s -= 10
+    begun_s = asyncio.get_running_loop().time()
+    await rig.store.put("servers/s1", None)
+    await wait_for(lambda: not rig.lists())
+    assert asyncio.get_running_loop().time() - begun_s < 0.8
+
+
+async def test_a_router_takes_the_servers_of_one_that_the_store_answers(rig):
+    await outage(rig)
+    rig.feed._confirmed_s -= feeds.STALE_S + 1
+    assert rig.feed.is_stale
+    entries = [SnapshotEntry("servers/s2", json.dumps(ENTRY).encode(), 9)]
+    rig.feed.take_entries(entries, rig.feed.age_s + 5)
+    assert not rig.lists("s2")
+    rig.feed.take_entries(entries, 0.2)
+    assert rig.lists("s2") and not rig.lists("s1")
+
+
+async def test_an_item_of_another_key_is_no_configuration(rig):
+    rig.configuration._change(StoreItem("op/configuration", b"{}", 3))
+    assert not rig.tables
--- /dev/null
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -0,0 +1,303 @@
+"""The router as a process, between callers, servers and a store of our own making."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from bilberryspring.platform.tests.platform_standin import (
+    CONFIGURATION,
+    ServerStandin,
+    StoreStandin,
+)
+
+SETTINGS = """
+node = "{node}"
+ip = "{ip}"
+zone = "z"
+internalPorts = [{peer_port}, {peer_port}]
+seeds = [{seeds}]
+[listen]
+front = "{ip}:{port}"
+ready = "{ip}:{ready_port}"
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetExtra = 50
+[platform]
+address = "{store}"
+"""
+
+
+def find_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Router:
+    """One router process."""
+
+    def __init__(self, tmp_path, store, ip="127.0.0.1", peer_port=None, seeds=()):
+        self.ip, self.port, self.ready_port = ip, find_port(), find_port()
+        self.peer_port = peer_port or find_port()
+        self.path = tmp_path / f"{ip}.toml"
+        self.path.write_text(
+            SETTINGS.format(
+                node=f"front-{ip}",
+                ip=ip,
+                peer_port=self.peer_port,
+                port=self.port,
+                ready_port=self.ready_port,
+                store=store,
+                seeds=", ".join(f'"{seed}:9"' for seed in seeds),
+            )
+        )
+        self.url = f"http://{ip}:{self.port}"
+        self.process = None
+
+    async def start(self):
+        environment = {**os.environ, "BILBERRYSPRING_SETTINGS": str(self.path)}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "bilberryspring.platform.front_router",
+            env=environment,
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    async def is_ready(self):
+        try:
+            url = f"http://{self.ip}:{self.ready_port}/ready"
+            async with aiohttp.ClientSession() as session, session.get(url) as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self, timeout_s=20.0):
+        async with asyncio.timeout(timeout_s):
+            while not await self.is_ready():
+                await asyncio.sleep(0.05)
+
+    async def close(self):
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+class Deployment:
+    """A store, a server and routers."""
+
+    def __init__(self, tmp_path):
+        self.tmp_path = tmp_path
+        self.store = StoreStandin()
+        self.server = ServerStandin()
+        self.routers = []
+
+    async def start(self):
+        await self.store.start()
+        await self.server.start()
+        await self.store.put("op/config", CONFIGURATION)
+        await self.store.put("servers/s1", self.server.describe())
+
+    async def add_router(self, **options):
+        router = Router(self.tmp_path, self.store.address, **options)
+        self.routers.append(router)
+        await router.start()
+        return router
+
+    async def close(self):
+        for router in self.routers:
+            await router.close()
+        await self.server.close()
+        await self.store.close()
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    deployment = Deployment(tmp_path)
+    await deployment.start()
+    yield deployment
+    await deployment.close()
+
+
+def make_headers(request_id="a1", key="k1", **more):
+    headers = {"Host": "a.example", "Attempt-Id": request_id, "Deadline-Ms": "3000"}
+    if key:
+        headers["Authorization"] = f"Bearer {key}"
+    return {**headers, **more}
+
+
+async def ask(session, router, path, body=b"", **options):
+    headers = make_headers(**options)
+    async with session.post(router.url + path, data=body, headers=headers) as answer:
+        return answer.status, dict(answer.headers), await answer.read()
+
+
+async def test_a_request_reaches_its_server_under_its_workspaces_name(deployment):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    async with aiohttp.ClientSession() as session:
+        smuggled = {"Tenant": "other", "Hold": "h", "Connection": "X-Own", "X-Own": "1"}
+        status, headers, body = await ask(
+            session, router, "/orders/x?y=1", b"two", **smuggled
+        )
+    assert (status, body) == (200, b"done two")
+    assert headers["Response-Seal"] == "seal" and headers["Attempt-Id"] == "a1"
+    request, _ = deployment.server.journal[0]
+    assert request.path_qs == "/orders/x?y=1"
+    assert request.headers["Tenant"] == "ward"
+    assert 0 < int(request.headers["Deadline-Ms"]) <= 1500
+    for name in ("Authorization", "Hold", "X-Own"):
+        assert name not in request.headers
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/orders/x", "wrong", 401),
+        ("/orders/x", None, 401),
+        ("/nowhere/x", "k1", 404),
+        ("/open/x", None, 200),
+    ],
+)
+async def test_keys_and_routes_decide(deployment, path, key, status):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    async with aiohttp.ClientSession() as session:
+        found, _, _ = await ask(session, router, path, key=key)
+    assert found == status
+    assert len(deployment.server.journal) == (status == 200)
+
+
+async def test_a_changed_configuration_is_in_force_within_a_second(deployment):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    tenants = [{"name": "ward", "apiKeys": ["k9"]}]
+    await deployment.store.put(
+        "op/config", {**CONFIGURATION, "version": 4, "tenants": tenants}
+    )
+    await asyncio.sleep(1.0)
+    async with aiohttp.ClientSession() as session:
+        assert (await ask(session, router, "/orders/x", key="k1"))[0] == 401
+        assert (await ask(session, router, "/orders/x", key="k9"))[0] == 200
+
+
+async def test_a_reused_address_runs_nothing_for_the_server_before(deployment):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    deployment.server.server_id = "s2"
+    async with aiohttp.ClientSession() as session:
+        status, headers, _ = await ask(session, router, "/orders/x")
+    assert status == 503 and float(headers["Retry-After"]) > 0
+    assert not deployment.server.journal
+
+
+async def test_a_stop_cuts_off_nothing_and_leaves_the_rotation_first(deployment):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    deployment.server.pause_s = 0.1
+    deployment.server.events = 25
+    statuses = []
+    async with aiohttp.ClientSession() as session:
+        stream = asyncio.create_task(ask(session, router, "/drafts/x"))
+        await asyncio.sleep(0.5)
+        router.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        assert not await router.is_ready()
+        for number in range(10):
+            found = await ask(session, router, "/orders/x", request_id=f"o{number}")
+            statuses.append(found[0])
+            await asyncio.sleep(0.1)
+        status, _, body = await stream
+    assert statuses == [200] * 10
+    assert status == 200 and body.count(b"id: ") == 25
+    async with asyncio.timeout(10):
+        assert await router.process.wait() == 0
+
+
+async def test_work_of_a_caller_that_left_is_dropped(deployment):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    deployment.server.pause_s = 0.1
+    deployment.server.events = 30
+    cut = asyncio.Event()
+    runs = deployment.server._run
+
+    async def watch(request):
+        try:
+            return await runs(request)
+        except (asyncio.CancelledError, ConnectionError):
+            cut.set()
+            raise
+
+    deployment.server._run = watch
+    async with aiohttp.ClientSession() as session:
+        answer = await session.post(
+            router.url + "/drafts/x", headers=make_headers(), data=b""
+        )
+        await answer.content.readany()
+        answer.close()
+    deadline_s = asyncio.get_running_loop().time() + 1.0
+    while asyncio.get_running_loop().time() < deadline_s and not cut.is_set():
+        await asyncio.sleep(0.05)
+    request, _ = deployment.server.journal[0]
+    assert cut.is_set() or request.transport is None or request.transport.is_closing()
+
+
+async def test_a_router_that_starts_without_the_store_learns_from_another(deployment):
+    peer_port = find_port()
+    first = await deployment.add_router(peer_port=peer_port)
+    await first.wait_ready()
+    deployment.store.fault = lambda request: web.Response(status=503)
+    second = await deployment.add_router(
+        ip="127.0.0.2", peer_port=peer_port, seeds=["127.0.0.1"]
+    )
+    await second.wait_ready()
+    async with aiohttp.ClientSession() as session:
+        assert (await ask(session, second, "/orders/x"))[0] == 200
+
+
+async def test_a_router_that_is_cut_off_from_the_store_follows_another(deployment):
+    peer_port = find_port()
+    first = await deployment.add_router(peer_port=peer_port)
+    await first.wait_ready()
+    own_view = StoreStandin()
+    await own_view.start()
+    own_view.items = dict(deployment.store.items)
+    second = Router(
+        deployment.tmp_path, own_view.address, "127.0.0.2", peer_port, ["127.0.0.1"]
+    )
+    deployment.routers.append(second)
+    await second.start()
+    await second.wait_ready()
+    own_view.fault = lambda request: web.Response(status=503)
+    tenants = [{"name": "ward", "apiKeys": ["k9"]}]
+    await deployment.store.put(
+        "op/config", {**CONFIGURATION, "version": 4, "tenants": tenants}
+    )
+    await asyncio.sleep(2.0)
+    async with aiohttp.ClientSession() as session:
+        assert (await ask(session, second, "/orders/x", key="k9"))[0] == 200
+        assert (await ask(session, second, "/orders/x", key="k1"))[0] == 401
+    await own_view.close()
+
+
+async def test_wrong_settings_end_the_program_with_a_reason(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text("node = 3")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "bilberryspring.platform.front_router",
+        env={**os.environ, "BILBERRYSPRING_SETTINGS": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert b"listen" in errors
--- /dev/null
+++ b/bilberryspring/platform/tests/test_settings_file.py
@@ -0,0 +1,44 @@
+from bilberryspring.platform.settings_file import load_machine_settings
+from bilberryspring.request.errors import Failure
+
+TEXT = """
+node = "front-1"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [7340,7355]
+seeds = ["10.1.0.40:8229"]
+later = "a field of a later platform"
+[listen]
+front = "127.0.0.1:8227"
+ready = "127.0.0.1:8220"
+[bounds]
+drainMs = 2500
+graceS = 8
+[platform]
+address = "127.0.0.1:8223"
+"""
+
+
+def load(tmp_path, text):
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    return load_machine_settings(str(path))
+
+
+def test_settings_are_decoded_into_our_units_and_unknown_fields_ignored(tmp_path):
+    settings = load(tmp_path, TEXT)
+    assert settings.leaving_s == 2.5 and settings.stop_s == 8
+    assert settings.peer_port == 7340 and settings.seed_ips == ("10.1.0.40",)
+    assert settings.retry_ratio == 0.2
+
+
+def test_every_fault_is_named_at_once(tmp_path):
+    text = TEXT.replace('zone = "a"\n', "").replace("drainMs = 2500", "drainMs = -1")
+    found = load(tmp_path, text)
+    assert isinstance(found, Failure)
+    assert "zone" in found.reason and "drainMs" in found.reason
+
+
+def test_files_that_cannot_be_read_are_failures(tmp_path):
+    assert isinstance(load(tmp_path, "node = "), Failure)
+    assert isinstance(load_machine_settings(str(tmp_path / "absent")), Failure)
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -45,7 +45,7 @@
     :param requests: requests of this router that it has.
     :param prompt_tokens: tokens that it is yet to read for them.
     :param held_tokens: tokens that they take in its memory, read and generated.
-    :param unanswered: when each request without an answer was sent.
+    :param waiting: when each request that it has was sent or last answered in part.
     :param failures: failures in a row.
     :param slowness: time that answers take, over the time expected.
     :param parts: parts of prompts that this router sent there, the latest last.
@@ -57,7 +57,7 @@
     prompt_tokens: int = 0
     held_tokens: int = 0
     peers: PeerLoad = field(default_factory=PeerLoad)
-    unanswered: dict[object, float] = field(default_factory=dict)
+    waiting: dict[object, float] = field(default_factory=dict)
     heard_s: float = 0.0
     failures: int = 0
     avoided_until_s: float = 0.0
@@ -75,9 +75,9 @@
 
         :param now_s: monotonic time.
         """
-        if not self.unanswered or now_s - self.heard_s < SILENCE_S:
+        if not self.waiting:
             return False
-        return now_s - min(self.unanswered.values()) >= SILENCE_S
+        return now_s - max(self.heard_s, min(self.waiting.values())) >= SILENCE_S
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether it gets no new work as long as there is another one.
@@ -138,7 +138,7 @@
         :param prompt: its prompt, for an engine.
         :param now_s: monotonic time.
         """
-        self.unanswered[token] = now_s
+        self.waiting[token] = now_s
         for part in prompt.parts if prompt else ():
             self.parts.pop(part.part_id, None)
             self.parts[part.part_id] = None
@@ -151,9 +151,16 @@
         :param token: stands for the request.
         :param now_s: monotonic time.
         """
-        self.unanswered.pop(token, None)
+        self.waiting[token] = now_s
         self.heard_s = now_s
 
+    def note_ended(self, token: object) -> None:
+        """Note that nothing more is expected of it for a request.
+
+        :param token: stands for the request.
+        """
+        self.waiting.pop(token, None)
+
     def note_time(self, taken_s: float, expected_s: float, now_s: float) -> None:
         """Learn how slow it is from one answer.
 
--- /dev/null
+++ b/bilberryspring/process/tests/test_server_table.py
@@ -0,0 +1,74 @@
+from bilberryspring.process.server_table import (
+    LONGEST_AVOID_S,
+    SILENCE_S,
+    make_server_table,
+)
+from bilberryspring.request.tests.relay_rig import make_prompt, make_server
+
+
+def make_record():
+    table = make_server_table()
+    table.put(make_server("a"))
+    return table, table.records["a"]
+
+
+def test_a_server_is_silent_only_while_something_waits_there():
+    _, record = make_record()
+    assert not record.is_silent(100.0)
+    record.note_sent("t", None, 100.0)
+    assert not record.is_silent(100.0 + SILENCE_S / 2)
+    assert record.is_silent(100.01 + SILENCE_S)
+    record.note_heard("t", 101.0)
+    assert record.is_silent(101.01 + SILENCE_S)
+    record.note_ended("t")
+    assert not record.is_silent(200.0)
+
+
+def test_another_answer_shows_that_a_server_is_not_silent():
+    _, record = make_record()
+    record.note_sent("long", None, 100.0)
+    record.note_sent("short", None, 100.0)
+    record.note_heard("short", 101.0)
+    record.note_ended("short")
+    assert not record.is_silent(101.0 + SILENCE_S / 2)
+    assert record.is_silent(101.01 + SILENCE_S)
+
+
+def test_failures_in_a_row_are_avoided_longer_up_to_a_bound():
+    _, record = make_record()
+    for _ in range(10):
+        record.note_failure("reset", 100.0)
+    assert record.is_avoided(100.0 + LONGEST_AVOID_S * 0.9)
+    assert not record.is_avoided(100.0 + LONGEST_AVOID_S)
+    record.note_success()
+    assert not record.is_avoided(100.0)
+
+
+def test_slowness_is_learnt_and_fades_so_that_the_server_is_tried_again():
+    _, record = make_record()
+    for _ in range(20):
+        record.note_time(1.0, 0.1, 100.0)
+    assert record.read_slowness(100.0) > 8
+    assert record.read_slowness(130.0) < 1.1
+
+
+def test_a_server_that_starts_again_under_its_id_knows_nothing_of_before():
+    table, record = make_record()
+    record.note_sent("t", make_prompt(("p", 10)), 100.0)
+    table.put(make_server("a", started_at_ms=2))
+    again = table.records["a"]
+    assert again is not record
+    assert again.count_cached(make_prompt(("p", 10))) == 0
+
+
+def test_a_leaving_server_keeps_its_record_but_gets_no_work():
+    table, record = make_record()
+    record.requests = 1
+    table.put(make_server("a", slots=9))
+    assert table.records["a"] is record
+    leaving = make_server("a")
+    table.put(
+        type(leaving)(*[getattr(leaving, n) for n in leaving.__slots__[:6]], False, 1)
+    )
+    assert table.records["a"] is record
+    assert table.list_ready("desk") == []
--- a/bilberryspring/request/direct_queue.py
+++ b/bilberryspring/request/direct_queue.py
@@ -129,19 +129,27 @@
             asyncio.get_running_loop().create_future(),
         )
         heapq.heappush(queue, waiter)
+        found = None
         try:
             async with asyncio.timeout(max(0.0, must_end_s - read_elapsed_s())):
-                return await waiter.result
+                found = await waiter.result
         except TimeoutError:
-            return make_failure(
-                ErrorKind.OVERLOADED, "no server had room before the deadline"
-            )
+            reason = "no server had room before the deadline"
+            return make_failure(ErrorKind.OVERLOADED, reason)
         finally:
-            if waiter in queue:
-                queue.remove(waiter)
-                heapq.heapify(queue)
-            elif waiter.result.cancelled():
-                pass
+            if found is None:
+                self._forget(waiter, queue)
+        return found
+
+    def _forget(self, waiter: _Waiter, queue: list[_Waiter]) -> None:
+        if waiter in queue:
+            queue.remove(waiter)
+            heapq.heapify(queue)
+        # A place may have been given in the moment in which the waiter gave up.
+        if waiter.result.done() and not waiter.result.cancelled():
+            given = waiter.result.result()
+            if isinstance(given, Place):
+                self.release(given)
 
     def release(self, place: Place, taken_s: float | None = None) -> None:
         """Give a place back.
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -184,7 +184,7 @@
                 expected_s=place.expected_s,
                 prompt_tokens=place.prompt_tokens,
             )
-            head = await self._wait(exchange.read_head, request, place, token)
+            head = await self._wait(exchange.read_head, request, place)
             if isinstance(head, Failure):
                 record.note_failure(head.reason, loop.time())
                 return head
@@ -208,7 +208,7 @@
                 record.note_failure(failure.reason, loop.time())
             return failure
         finally:
-            record.unanswered.pop(token, None)
+            record.note_ended(token)
             if exchange is not None and not isinstance(exchange, Failure):
                 exchange.close()
             self._dispatcher.release(place, taken_s)
@@ -252,7 +252,7 @@
         parts: list[bytes] = []
         size_bytes = 0
         while True:
-            chunk = await self._wait(exchange.read_chunk, request, place, token)
+            chunk = await self._wait(exchange.read_chunk, request, place)
             if isinstance(chunk, Failure):
                 return chunk
             if chunk is None:
@@ -280,7 +280,7 @@
         splitter.drop_rest()
         loop = asyncio.get_running_loop()
         while True:
-            chunk = await self._wait(exchange.read_chunk, request, place, token)
+            chunk = await self._wait(exchange.read_chunk, request, place)
             if isinstance(chunk, Failure):
                 return chunk
             if not answer.is_started:
@@ -293,7 +293,7 @@
             place.record.note_heard(token, loop.time())
             await answer.write(splitter.feed(chunk))
 
-    async def _wait(self, read, request: IncomingRequest, place: Place, token: object):
+    async def _wait(self, read, request: IncomingRequest, place: Place):
         """Wait for a part of an answer; leave a silent server if that loses nothing."""
         record, loop = place.record, asyncio.get_running_loop()
         if not request.route.is_repeatable:
@@ -304,7 +304,6 @@
                     return await read()
             except TimeoutError:
                 now_s = loop.time()
-                record.unanswered.setdefault(token, now_s - WATCH_S)
                 others = request.tries < request.route.max_servers
                 if others and record.is_silent(now_s) and self._budget.can_spend():
                     reason = f"{record.server.server_id} is silent"
--- /dev/null
+++ b/bilberryspring/request/tests/relay_rig.py
@@ -0,0 +1,174 @@
+"""Servers, callers and requests for tests of the relay; each server is a script."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bilberryspring.capability.backend_calls import AnswerHead
+from bilberryspring.capability.routing import (
+    BackendServer,
+    DirectRoute,
+    EngineLimits,
+    IncomingRequest,
+    PoolLimits,
+    Prompt,
+    PromptPart,
+    RunRule,
+)
+from bilberryspring.process.clock import read_elapsed_s
+from bilberryspring.process.server_table import make_server_table
+from bilberryspring.request.direct_queue import make_dispatcher
+from bilberryspring.request.errors import ErrorKind, make_failure
+from bilberryspring.request.fleet_budget import make_fleet_retry_budget
+from bilberryspring.request.relay import make_relay
+
+ENGINE = EngineLimits(slots=4, cache_tokens=100_000, chunk_tokens=9, can_fetch=True)
+SERVICE_POOL = PoolLimits("desk", 100, None)
+ENGINE_POOL = PoolLimits("writers", 100, ENGINE)
+
+
+def make_route(rule=RunRule.ONCE, **changes):
+    values = {
+        "name": "r",
+        "host": "a.example",
+        "path_prefix": "/",
+        "rule": rule,
+        "pools": (("desk", 1.0),),
+        "max_servers": 2,
+        "timeout_s": 2.0,
+        "target_s": 0.4,
+        "pause_target_s": 0.3,
+        "rank_order": 2,
+        "is_public": False,
+        "is_resumable": False,
+    }
+    return DirectRoute(**{**values, **changes})
+
+
+def make_prompt(*parts, output_tokens=100):
+    found = tuple(PromptPart(name, tokens) for name, tokens in parts)
+    return Prompt("m", sum(part.tokens for part in found), output_tokens, found)
+
+
+def make_request(route, deadline_s=3.0, request_id="q1", rank_order=2, prompt=None):
+    now_s = read_elapsed_s()
+    return IncomingRequest(
+        request_id=request_id,
+        method="POST",
+        target="/x",
+        headers=[],
+        body=b"",
+        route=route,
+        workspace=None,
+        rank_order=rank_order,
+        received_s=now_s,
+        deadline_s=now_s + deadline_s,
+        prompt=prompt,
+    )
+
+
+def make_server(server_id, pool="desk", slots=4, zone="z", started_at_ms=1):
+    return BackendServer(
+        server_id, pool, "127.0.0.1", 1, zone, slots, True, started_at_ms
+    )
+
+
+def make_head(status=200, was_not_run=False, is_own=True):
+    return AnswerHead(status, [], was_not_run, is_own, None, None)
+
+
+def lose(reason="connection reset"):
+    return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
+
+@dataclass
+class Exchange:
+    """Gives the items of a script; a number is a pause, `None` the end."""
+
+    script: list
+    calls: "Calls"
+
+    async def _next(self):
+        while self.script and isinstance(self.script[0], float):
+            pause_s = self.script[0]
+            await asyncio.sleep(pause_s)
+            self.script.pop(0)
+        if not self.script:
+            await asyncio.Event().wait()
+        return self.script.pop(0)
+
+    async def read_head(self):
+        return await self._next()
+
+    async def read_chunk(self):
+        return await self._next()
+
+    def close(self):
+        self.calls.closed += 1
+
+
+@dataclass
+class Calls:
+    """Runs the next script for each request, and keeps what was sent."""
+
+    scripts: list
+    sent: list = field(default_factory=list)
+    closed: int = 0
+
+    async def begin(self, server, request, time_left_s):
+        script = self.scripts[len(self.sent)]
+        if not isinstance(script, list):
+            self.scripts.pop(len(self.sent))
+            return script
+        self.sent.append(
+            (server.server_id, request.resume_after, round(time_left_s, 1))
+        )
+        return Exchange(list(script), self)
+
+
+class Answer:
+    """The answer as its caller sees it."""
+
+    def __init__(self):
+        self.head = None
+        self.body = b""
+        self.is_finished = False
+        self.is_broken = False
+        self.failure = None
+        self.ended_s = None
+
+    @property
+    def is_started(self):
+        return self.head is not None
+
+    def start(self, head, length_bytes):
+        assert self.head is None
+        self.head = head
+
+    async def write(self, data):
+        self.body += data
+
+    def finish(self):
+        self.is_finished = True
+
+    async def refuse(self, failure):
+        assert self.head is None
+        self.failure = failure
+        self.ended_s = read_elapsed_s()
+
+    def break_off(self):
+        self.is_broken = True
+
+
+async def relay(route, scripts, servers=("a", "b", "c"), extra=20, **request):
+    """Relay one request; return its answer and the calls."""
+    table = make_server_table()
+    for server_id in servers:
+        table.put(make_server(server_id))
+    calls = Calls(list(scripts))
+    budget = make_fleet_retry_budget(0.0, extra, 10.0, asyncio.get_running_loop().time)
+    dispatcher = make_dispatcher(table, "z", 2.0)
+    answer = Answer()
+    subject = make_relay(calls, dispatcher, table, budget)
+    await subject.relay(make_request(route, **request), SERVICE_POOL, answer)
+    assert all(record.requests == 0 for record in table.records.values())
+    return answer, calls
