--- a/bilberryspring/capability/__init__.py
+++ b/bilberryspring/capability/__init__.py
@@ -4,14 +4,7 @@
 ``bilberryspring.platform``; nothing else knows its calls or names.
 """
 
-from bilberryspring.capability.instance_list import (
-    Instance,
-    InstanceList,
-    InstanceSource,
-    InstanceState,
-    Role,
-)
-from bilberryspring.capability.store import Store
+from bilberryspring.lazy_names import make_lazy_names
 
 __all__ = [
     "Instance",
@@ -21,3 +14,15 @@
     "Role",
     "Store",
 ]
+
+__getattr__ = make_lazy_names(
+    __name__,
+    {
+        "Instance": "instance_list",
+        "InstanceList": "instance_list",
+        "InstanceSource": "instance_list",
+        "InstanceState": "instance_list",
+        "Role": "instance_list",
+        "Store": "store",
+    },
+)
--- a/bilberryspring/connection/__init__.py
+++ b/bilberryspring/connection/__init__.py
@@ -1,14 +1,6 @@
 """What lives for one connection: frames, authentication, liveness."""
 
-from bilberryspring.connection.frames import decode_frame, encode_frame
-from bilberryspring.connection.messages import (
-    Accepted,
-    Chunk,
-    Final,
-    Message,
-    Open,
-    Refused,
-)
+from bilberryspring.lazy_names import make_lazy_names
 
 __all__ = [
     "Accepted",
@@ -20,3 +12,17 @@
     "decode_frame",
     "encode_frame",
 ]
+
+__getattr__ = make_lazy_names(
+    __name__,
+    {
+        "Accepted": "messages",
+        "Chunk": "messages",
+        "Final": "messages",
+        "Message": "messages",
+        "Open": "messages",
+        "Refused": "messages",
+        "decode_frame": "frames",
+        "encode_frame": "frames",
+    },
+)
--- a/bilberryspring/platform/__init__.py
+++ b/bilberryspring/platform/__init__.py
@@ -2,12 +2,9 @@
 
 The only place that knows the platform's calls, field names and addresses. Everything
 else sees the protocols and typed values of ``bilberryspring.capability``.
-
-Names are imported when they are used: a program loads the libraries of the adapters
-that it has, and memory of its machine counts.
 """
 
-from importlib import import_module
+from bilberryspring.lazy_names import make_lazy_names
 
 __all__ = [
     "make_instance_list_client",
@@ -15,14 +12,11 @@
     "parse_instance_list",
 ]
 
-_MODULES = {
-    "make_instance_list_client": "instances",
-    "make_key_value_client": "keyvalue",
-    "parse_instance_list": "instances",
-}
-
-
-def __getattr__(name: str) -> object:
-    if name not in _MODULES:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(import_module(f"{__name__}.{_MODULES[name]}"), name)
+__getattr__ = make_lazy_names(
+    __name__,
+    {
+        "make_instance_list_client": "instances",
+        "make_key_value_client": "keyvalue",
+        "parse_instance_list": "instances",
+    },
+)
--- a/bilberryspring/platform/documents.py
+++ b/bilberryspring/platform/documents.py
@@ -21,7 +21,7 @@
     RouteName,
     WorkspaceName,
 )
-from bilberryspring.process.settings import split_address
+from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = ["decode_routing_table", "decode_server"]
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -25,10 +25,10 @@
     MachineSettings,
     load_machine_settings,
 )
+from bilberryspring.process.addresses import split_address
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
 from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
-from bilberryspring.process.settings import split_address
 from bilberryspring.request.direct_queue import make_dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -18,7 +18,7 @@
     BrokenConnection,
     open_connection,
 )
-from bilberryspring.process.settings import split_address
+from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -2,13 +2,12 @@
 
 import os
 import tomllib
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-from pydantic.alias_generators import to_camel
-
-from bilberryspring.process.settings import Address, split_address
+from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = ["MachineSettings", "load_machine_settings", "SETTINGS_VARIABLE"]
@@ -16,43 +15,6 @@
 SETTINGS_VARIABLE = "BILBERRYSPRING_SETTINGS"
 
 
-class _Section(BaseModel):
-    # The platform may add fields; a process ignores those that it does not know.
-    model_config = ConfigDict(extra="ignore", frozen=True, alias_generator=to_camel)
-
-
-class _Listen(_Section):
-    front: Address
-    ready: Address
-
-
-class _Bounds(_Section):
-    drain_ms: float = Field(default=2000, gt=0)
-    grace_s: float = Field(default=8, gt=0)
-    retry_budget_ratio: float = Field(default=0.2, ge=0)
-    budget_window_s: float = Field(default=10, gt=0)
-    budget_extra: float = Field(default=0, ge=0)
-    cap_factor: float = Field(default=2, gt=1)
-    reuse_window_s: float = Field(default=10, gt=0)
-
-
-class _Store(_Section):
-    address: Address
-    min_ttl_ms: float = Field(default=1000, gt=0)
-
-
-class _File(_Section):
-    node: str = Field(min_length=1)
-    ip: str
-    zone: str
-    region: str = ""
-    internal_ports: tuple[int, int]
-    listen: _Listen
-    seeds: tuple[Address, ...] = ()
-    bounds: _Bounds = _Bounds()
-    platform: _Store
-
-
 @dataclass(frozen=True, slots=True)
 class MachineSettings:
     """Settings of a router, in our own words.
@@ -76,7 +38,6 @@
     peer_port: int
     seed_ips: tuple[str, ...]
     store_address: str
-    least_lease_s: float
     leaving_s: float
     stop_s: float
     retry_ratio: float
@@ -85,8 +46,72 @@
     load_factor: float
 
 
+class _Reader:
+    """Reads checked fields, and keeps what is wrong with them."""
+
+    def __init__(self, content: Mapping[str, Any]):
+        self._content = content
+        self.faults: list[str] = []
+
+    def read(self, path: str, check: Callable[[Any], Any], default: Any = None) -> Any:
+        """Return a checked field; one that is absent has its default, if there is one.
+
+        :param path: its name, with those of the tables around it before dots.
+        :param check: returns the value, or raises ``ValueError``.
+        :param default: value of an absent field; ``None`` if it must be there.
+        """
+        value: Any = self._content
+        for name in path.split("."):
+            value = value.get(name) if isinstance(value, Mapping) else None
+        if value is None:
+            if default is None:
+                self.faults.append(f"{path}: is missing")
+            return default
+        try:
+            return check(value)
+        except ValueError as error:
+            self.faults.append(f"{path}: {error}")
+            return default
+
+
+def _check_text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("must be text")
+    return value
+
+
+def _check_address(value: Any) -> str:
+    split_address(_check_text(value))
+    return value
+
+
+def _check_positive(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise ValueError("must be a number above zero")
+    return float(value)
+
+
+def _check_not_negative(value: Any) -> float:
+    return 0.0 if value == 0 and value is not False else _check_positive(value)
+
+
+def _check_ports(value: Any) -> int:
+    if not isinstance(value, list) or len(value) != 2:
+        raise ValueError("must be the first and the last port")
+    if not all(isinstance(port, int) and 0 < port < 65_536 for port in value):
+        raise ValueError("must be ports")
+    return value[0]
+
+
+def _check_seeds(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise ValueError("must be a list of addresses")
+    # The port of routers is the same on all machines, and is not the one named here.
+    return tuple(split_address(_check_text(seed))[0] for seed in value)
+
+
 def load_machine_settings(path: str | None = None) -> MachineSettings | Failure:
-    """Read and check the settings file.
+    """Read and check the settings file; fields that are not known are ignored.
 
     :param path: the file; the one that the platform names by default.
     :returns: checked settings, or a failure that names every fault.
@@ -97,31 +122,27 @@
         return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
     try:
         content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-        found = _File.model_validate(content)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         return make_failure(ErrorKind.CONFIGURATION_INVALID, f"{path}: {error}")
-    except ValidationError as error:
-        faults = "; ".join(
-            f"{'.'.join(map(str, each['loc']))}: {each['msg']}"
-            for each in error.errors()
-        )
-        return make_failure(ErrorKind.CONFIGURATION_INVALID, f"{path}: {faults}")
-    bounds = found.bounds
-    return MachineSettings(
-        instance_id=found.node,
-        ip=found.ip,
-        availability_zone=found.zone,
-        caller_address=found.listen.front,
-        readiness_address=found.listen.ready,
-        peer_port=found.internal_ports[0],
-        # Of other routers; one port is the same on all machines, and not this one.
-        seed_ips=tuple(split_address(seed)[0] for seed in found.seeds),
-        store_address=found.platform.address,
-        least_lease_s=found.platform.min_ttl_ms / 1000,
-        leaving_s=bounds.drain_ms / 1000,
-        stop_s=bounds.grace_s,
-        retry_ratio=bounds.retry_budget_ratio,
-        retry_extra=bounds.budget_extra,
-        retry_window_s=bounds.budget_window_s,
-        load_factor=bounds.cap_factor,
-    )
+    reader = _Reader(content)
+    read = reader.read
+    fields = {
+        "instance_id": read("node", _check_text),
+        "ip": read("ip", _check_text),
+        "availability_zone": read("zone", _check_text),
+        "caller_address": read("listen.front", _check_address),
+        "readiness_address": read("listen.ready", _check_address),
+        "peer_port": read("internalPorts", _check_ports),
+        "seed_ips": read("seeds", _check_seeds, ()),
+        "store_address": read("platform.address", _check_address),
+        "leaving_s": read("bounds.drainMs", _check_positive, 2000.0) / 1000,
+        "stop_s": read("bounds.graceS", _check_positive, 8.0),
+        "retry_ratio": read("bounds.retryBudgetRatio", _check_not_negative, 0.2),
+        "retry_extra": read("bounds.budgetExtra", _check_not_negative, 0.0),
+        "retry_window_s": read("bounds.budgetWindowS", _check_positive, 10.0),
+        "load_factor": read("bounds.capFactor", _check_positive, 2.0),
+    }
+    if reader.faults:
+        reason = f"{path}: {'; '.join(reader.faults)}"
+        return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
+    return MachineSettings(**fields)
--- a/bilberryspring/process/__init__.py
+++ b/bilberryspring/process/__init__.py
@@ -1,8 +1,6 @@
 """What lives for one process: settings, logs, spending, programs."""
 
-from bilberryspring.process.accounting import Ledger, Mechanism, make_ledger
-from bilberryspring.process.logs import configure_logs, log_event
-from bilberryspring.process.settings import AgentSettings, RouterSettings, load_settings
+from bilberryspring.lazy_names import make_lazy_names
 
 __all__ = [
     "AgentSettings",
@@ -14,3 +12,17 @@
     "log_event",
     "make_ledger",
 ]
+
+__getattr__ = make_lazy_names(
+    __name__,
+    {
+        "AgentSettings": "settings",
+        "Ledger": "accounting",
+        "Mechanism": "accounting",
+        "RouterSettings": "settings",
+        "configure_logs": "logs",
+        "load_settings": "settings",
+        "log_event": "logs",
+        "make_ledger": "accounting",
+    },
+)
--- a/bilberryspring/process/settings.py
+++ b/bilberryspring/process/settings.py
@@ -1,12 +1,12 @@
 """Settings of each program: JSON with comments, checked before anything starts."""
 
-import ipaddress
 from pathlib import Path
 from typing import Annotated, TypeVar
 
 import json5
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -19,23 +19,6 @@
 ]
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port`` into its parts.
-
-    :param address: an IP number, a colon and a port.
-    :returns: host and port.
-    :raises ValueError: if either part is not valid.
-
-    >>> split_address("127.0.0.1:8080")
-    ('127.0.0.1', 8080)
-    """
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > 65535:
-        raise ValueError("expected an IP number and a port, such as 127.0.0.1:8080")
-    ipaddress.ip_address(host.strip("[]"))
-    return host.strip("[]"), int(port)
-
-
 def _check_address(address: str) -> str:
     split_address(address)
     return address
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -84,19 +84,22 @@
                 )
         if outcome is _DONE:
             return
-        log_event(
-            "request_refused" if request.tries == 0 else "request_failed",
-            level="WARNING",
-            request_id=request.request_id,
-            kind=outcome.kind,
-            outcome=outcome.outcome,
-            reason=outcome.reason,
-            route=request.route.name,
-            tries=request.tries,
-            age_s=read_elapsed_s() - begun_s,
-            left_s=must_end_s - read_elapsed_s(),
-            is_begun=answer.is_started,
-        )
+        facts = {
+            "level": "WARNING",
+            "request_id": request.request_id,
+            "kind": outcome.kind,
+            "outcome": outcome.outcome,
+            "reason": outcome.reason,
+            "route": request.route.name,
+            "tries": request.tries,
+            "age_s": read_elapsed_s() - begun_s,
+            "left_s": must_end_s - read_elapsed_s(),
+            "is_begun": answer.is_started,
+        }
+        if request.tries == 0:
+            log_event("request_refused", **facts)
+        else:
+            log_event("request_failed", **facts)
         if answer.is_started:
             answer.break_off()
         else:
