Serve counters and latencies of the platform's router

Cause: the router on the platform had no metrics. Change: the path of a request appends one observation; they are folded into the project's histograms each half second, whose libraries load three seconds after the start; /metrics on the readiness address. Tested with the process.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -27,6 +27,7 @@
 )
 from bilberryspring.process.addresses import split_address
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
+from bilberryspring.process.router_metrics import make_router_metrics
 from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
 from bilberryspring.request.direct_queue import make_dispatcher
@@ -38,6 +39,8 @@
 
 BACKLOG = 1024
 UPKEEP_S = 0.5
+# Loading what metrics need takes a tenth of a second, which callers must not wait for.
+METRICS_DELAY_S = 3.0
 # The balancer leaves a machine out after two misses, a second apart.
 OUT_OF_ROTATION_S = 2.6
 # Work in progress ends this long before the platform ends the process.
@@ -45,6 +48,8 @@
 # No new connection is taken for so long before the end, so that answers can end.
 LAST_ANSWERS_S = 2.5
 POLL_S = 0.05
+METRICS_PATH = b"/metrics"
+METRICS_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 FAULT_KINDS = {
     400: ErrorKind.MALFORMED_REQUEST,
     408: ErrorKind.MALFORMED_REQUEST,
@@ -96,8 +101,13 @@
             settings.retry_window_s,
             lambda: asyncio.get_running_loop().time(),
         )
+        self._metrics = make_router_metrics(self._servers)
         self._relay = make_relay(
-            self._calls, self._dispatcher, self._servers, self._budget
+            self._calls,
+            self._dispatcher,
+            self._servers,
+            self._budget,
+            self._metrics.observe,
         )
         self._configuration_feed = ConfigurationFeed(self._store, self._adopt)
         self._server_feed = ServerFeed(
@@ -123,6 +133,28 @@
             settings.ip,
             self._peers.add_addresses,
         )
+        self._metrics.gauges.update(
+            {
+                "configuration_version": (
+                    "Version in force, -1 for none",
+                    lambda: -1 if self._table is None else self._table.version,
+                ),
+                "server_list_age_seconds": (
+                    "Time since the store confirmed the servers, -1 for never",
+                    lambda: self._server_feed.age_s,
+                ),
+                "store_calls": ("Calls of the store", lambda: self._store.calls),
+                "server_connections_opened": (
+                    "New connections to servers",
+                    lambda: self._calls.opened,
+                ),
+                "routers": ("Routers known", self._peers.count_routers),
+                "caller_connections": (
+                    "Open connections of callers",
+                    lambda: len(self._connections),
+                ),
+            }
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
 
@@ -166,8 +198,10 @@
                 await asyncio.sleep(UPKEEP_S)
 
     async def _keep_up(self) -> None:
+        await asyncio.sleep(METRICS_DELAY_S)
         while True:
             await asyncio.sleep(UPKEEP_S)
+            self._metrics.fold()
             self._calls.close_idle()
             self._budget.routers = self._peers.count_routers()
             self._dispatcher.serve_all_waiting()
@@ -211,6 +245,11 @@
     async def _tell_readiness(
         self, request: HttpRequest, connection: CallerConnection
     ) -> None:
+        if request.target.partition(b"?")[0] == METRICS_PATH:
+            body = self._metrics.render().encode()
+            connection.start_answer(200, "OK", METRICS_HEADERS, len(body))
+            await connection.write(body)
+            return
         status, reason = (200, "OK") if self.is_ready else (503, "Service Unavailable")
         connection.start_answer(status, reason, [], 0)
 
--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -175,6 +175,19 @@
     assert len(deployment.server.journal) == (status == 200)
 
 
+async def test_metrics_tell_of_requests_and_beliefs(deployment):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    async with aiohttp.ClientSession() as session:
+        await ask(session, router, "/orders/x")
+        url = f"http://{router.ip}:{router.ready_port}/metrics"
+        async with session.get(url) as answer:
+            text = await answer.text()
+    assert 'requests_total{kind="",outcome="complete",rank="1",status="200"} 1' in text
+    assert "bilberryspring_configuration_version 3.0" in text
+    assert "first_part_seconds_bucket" in text
+
+
 async def test_a_changed_configuration_is_in_force_within_a_second(deployment):
     router = await deployment.add_router()
     await router.wait_ready()
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bilberryspring.capability.backend_calls import (
@@ -17,6 +18,7 @@
 from bilberryspring.capability.routing import IncomingRequest, PoolLimits, RunRule
 from bilberryspring.process.clock import read_elapsed_s
 from bilberryspring.process.logs import log_event
+from bilberryspring.process.router_metrics import Observation
 from bilberryspring.process.server_table import ServerTable
 from bilberryspring.request.direct_queue import Dispatcher, Place
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
@@ -37,7 +39,20 @@
 
     answer: CallerAnswer
     splitter: EventSplitter
-    has_part: bool = False
+    first_s: float | None = None
+    status: int = 0
+
+    def start(self, head: AnswerHead, length_bytes: int | None, age_s: float) -> None:
+        """Begin the caller's answer, unless it has begun.
+
+        :param head: head of a server's answer.
+        :param length_bytes: length of the body, ``None`` for a stream.
+        :param age_s: time since the request was read.
+        """
+        if not self.answer.is_started:
+            self.first_s = age_s
+            self.status = head.status
+            self.answer.start(head, length_bytes)
 
 
 class Relay:
@@ -47,6 +62,7 @@
     :param dispatcher: gives places at servers.
     :param servers: what is known of the servers.
     :param budget: bounds further sends over all routers.
+    :param observe: takes what became of each request.
     """
 
     def __init__(
@@ -55,11 +71,13 @@
         dispatcher: Dispatcher,
         servers: ServerTable,
         budget: FleetRetryBudget,
+        observe: Callable[[Observation], None] = lambda _: None,
     ):
         self._calls = calls
         self._dispatcher = dispatcher
         self._servers = servers
         self._budget = budget
+        self._observe = observe
 
     async def relay(
         self, request: IncomingRequest, pool: PoolLimits, answer: CallerAnswer
@@ -82,6 +100,18 @@
                 outcome = make_failure(
                     ErrorKind.OVERLOADED, "no server had room before the deadline"
                 )
+        now_s = read_elapsed_s()
+        self._observe(
+            Observation(
+                rank_order=request.rank_order,
+                status=progress.status,
+                kind="" if outcome is _DONE else outcome.kind.value,
+                tries=request.tries,
+                first_s=progress.first_s,
+                whole_s=now_s - begun_s,
+                is_complete=outcome is _DONE,
+            )
+        )
         if outcome is _DONE:
             return
         facts = {
@@ -92,8 +122,8 @@
             "reason": outcome.reason,
             "route": request.route.name,
             "tries": request.tries,
-            "age_s": read_elapsed_s() - begun_s,
-            "left_s": must_end_s - read_elapsed_s(),
+            "age_s": now_s - begun_s,
+            "left_s": must_end_s - now_s,
             "is_begun": answer.is_started,
         }
         if request.tries == 0:
@@ -265,7 +295,7 @@
             size_bytes += len(chunk)
             if size_bytes > MAX_BUFFERED_BODY_BYTES:
                 return make_failure(ErrorKind.BACKEND_FAILED, "the answer is too large")
-        progress.answer.start(head, size_bytes)
+        progress.start(head, size_bytes, read_elapsed_s() - request.received_s)
         await progress.answer.write(b"".join(parts))
         progress.answer.finish()
         return _DONE
@@ -287,7 +317,7 @@
             if isinstance(chunk, Failure):
                 return chunk
             if not answer.is_started:
-                answer.start(head, None)
+                progress.start(head, None, read_elapsed_s() - request.received_s)
             if chunk is None:
                 await answer.write(splitter.take_rest())
                 answer.finish()
@@ -318,6 +348,7 @@
     dispatcher: Dispatcher,
     servers: ServerTable,
     budget: FleetRetryBudget,
+    observe: Callable[[Observation], None] = lambda _: None,
 ) -> Relay:
     """Return a relay.
 
@@ -325,5 +356,6 @@
     :param dispatcher: gives places at servers.
     :param servers: what is known of the servers.
     :param budget: bounds further sends over all routers.
+    :param observe: takes what became of each request.
     """
-    return Relay(calls, dispatcher, servers, budget)
+    return Relay(calls, dispatcher, servers, budget, observe)
