Let two routers watch the servers for all, and fetch from engines that leave

Parts of engines that leave were read again, since only those that take work were fetched from; a new home fetched from nobody once the former one was gone from the list of the ready. Change: reports carry a digest of the servers and the age of the store's word; a router that is not among the first two by hash asks the store itself only when that age passes 0.45 of the leaving bound. The configuration's watch waits 10 s, reports tell of newer versions. Sources include leaving engines and the third in rank. Reports go to ten routers; the bound is 1.3 instead of 1.6 times the mean.

--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -9,6 +9,8 @@
   configVersion @3 :Int64;
   peers @4 :UInt16;
   loads @5 :List(RouterLoad);
+  serversDigest @6 :UInt64;
+  serversAgeMs @7 :Int64;
 }
 
 struct RouterLoad {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -52,6 +52,8 @@
     :param sequence: counts its reports.
     :param config_version: version in force there, -1 for none.
     :param peers: routers that it knows, itself included.
+    :param servers_digest: digest of what it knows of the servers.
+    :param servers_age_s: time since the store confirmed that, negative if it never did.
     """
 
     sender: InstanceId
@@ -60,6 +62,8 @@
     config_version: int
     peers: int
     loads: tuple[RouterLoad, ...]
+    servers_digest: int = 0
+    servers_age_s: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +98,8 @@
         sequence=report.sequence,
         configVersion=report.config_version,
         peers=min(report.peers, 0xFFFF),
+        serversDigest=report.servers_digest,
+        serversAgeMs=round(report.servers_age_s * 1000),
         loads=[
             {
                 "server": load.server,
@@ -131,6 +137,8 @@
                 )
                 for load in message.loads
             ),
+            servers_digest=message.serversDigest,
+            servers_age_s=message.serversAgeMs / 1000,
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"no report: {error}")
--- a/bilberryspring/platform/feeds.py
+++ b/bilberryspring/platform/feeds.py
@@ -21,9 +21,9 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
-# A watch that waits longer than this on a connection that has gone silent would keep
-# a change from being in force in time.
-CONFIGURATION_WAIT_S = 0.8
+# A watch on a connection that has gone silent tells nothing; other routers' reports
+# tell of a newer version meanwhile.
+CONFIGURATION_WAIT_S = 10.0
 # Servers write in turn; one answer then holds the changes of some of them.
 SERVER_PAUSE_S = 0.35
 SERVER_WAIT_S = 1.0
@@ -34,8 +34,10 @@
 # Part of the time in which a leaving server must get no more work.
 LEAVING_SHARE = 0.9
 LAPSE_CHECK_S = 0.1
-# Time without the store's word after which other routers are asked.
-STALE_S = 2.5
+# A router that rests asks the store itself once the word of the others is this old, a
+# part of the time in which a leaving server must get no more work.
+REST_SHARE = 0.45
+REST_S = 0.1
 
 
 async def follow_prefix(
@@ -47,6 +49,7 @@
     replace: Callable[[Iterable[StoreItem]], None],
     change: Callable[[StoreItem], None],
     note_state: Callable[[bool], None],
+    may_rest: Callable[[], bool] = lambda: False,
 ) -> None:
     """Keep a view of a prefix up to date, until cancelled.
 
@@ -57,9 +60,13 @@
     :param replace: takes every item there is.
     :param change: takes one change.
     :param note_state: takes whether the store answered, for each call.
+    :param may_rest: returns whether others watch the prefix at present.
     """
     revision = None
     while True:
+        if may_rest():
+            await asyncio.sleep(REST_S)
+            continue
         if revision is None:
             found = await store.list_prefix(prefix)
             if not isinstance(found, Failure):
@@ -158,6 +165,8 @@
         leaving_s: float,
     ):
         self._leaving_s = leaving_s * LEAVING_SHARE
+        self._rest_s = leaving_s * REST_SHARE
+        self.is_watcher: Callable[[], bool] = lambda: True
         self._store = store
         self._servers = servers
         self._changed = changed
@@ -179,10 +188,16 @@
             return -1.0
         return time.monotonic() - self._confirmed_s
 
-    @property
-    def is_stale(self) -> bool:
-        """Whether other routers may know better."""
-        return not self.has_listed or self.age_s > STALE_S
+    def confirm(self, age_s: float) -> None:
+        """Note that the store confirmed the list as it is known here.
+
+        :param age_s: time since it did.
+        """
+        self._confirmed_s = time.monotonic() - age_s
+
+    def may_rest(self) -> bool:
+        """Return whether other routers' word on the servers is fresh enough."""
+        return not self.is_watcher() and 0 <= self.age_s < self._rest_s
 
     def take_entries(self, entries: Iterable[SnapshotEntry], age_s: float) -> None:
         """Take the servers as another router has them, if it knows better.
@@ -207,6 +222,7 @@
             replace=self._replace,
             change=self._change,
             note_state=self._note_state,
+            may_rest=self.may_rest,
         )
 
     def _note_state(self, answers: bool) -> None:
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -123,9 +123,10 @@
             self._servers,
             lambda: -1 if self._table is None else self._table.version,
             self._make_snapshot,
-            lambda: self._server_feed.is_stale,
+            self._server_feed,
             self._take_snapshot,
         )
+        self._server_feed.is_watcher = self._peers.is_watcher
         self._peers.add_addresses(list(settings.seed_ips))
         self._directory = make_router_directory(
             self._store,
@@ -219,8 +220,7 @@
                 self._configuration_feed.take_entry(entry)
             else:
                 servers.append(entry)
-        if self._server_feed.is_stale:
-            self._server_feed.take_entries(servers, snapshot.servers_age_s)
+        self._server_feed.take_entries(servers, snapshot.servers_age_s)
 
     def _adopt(self, table: RoutingTable) -> None:
         self._table = table
--- a/bilberryspring/policy/direct_placing.py
+++ b/bilberryspring/policy/direct_placing.py
@@ -42,6 +42,9 @@
 
 DIRECT_PLACING: Registry[DirectPlacing] = make_registry()
 
+# The home, the one before it, and one more if both leave at once.
+RANKED = 3
+
 # A server of another zone must promise to begin so much sooner; twice the time that a
 # message takes between zones.
 ZONE_COST_S = 0.002
@@ -88,19 +91,19 @@
 
 
 def rank_homes(key: str, server_ids: Sequence[str]) -> list[str]:
-    """Return the server that keeps the shared parts of a prompt, and the next one.
+    """Return the server that keeps the shared parts of a prompt, and the next ones.
 
     The next one kept them before the first one was listed, and keeps them when it is
     gone.
 
     :param key: id of the last shared part.
     :param server_ids: servers of the pool.
-    :returns: at most two, the same at every router that lists the same servers.
+    :returns: at most ``RANKED``, the same at every router that lists the same servers.
 
     >>> rank_homes("5c1e07a2", ["b", "a"]) == rank_homes("5c1e07a2", ["a", "b"])
     True
     """
-    return heapq.nlargest(2, server_ids, key=lambda each: _score(key, each))
+    return heapq.nlargest(RANKED, server_ids, key=lambda each: _score(key, each))
 
 
 @lru_cache(maxsize=65_536)
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from bilberryspring.connection.load_messages import hash_name
 from bilberryspring.connection.router_reports import (
@@ -32,8 +33,8 @@
 __all__ = ["PeerView", "RouterPeers", "make_router_peers"]
 
 REPORT_S = 0.25
-# With reports of some 500 bytes, 10 KB/s of control bytes at the most.
-MAX_PARTNERS = 5
+# With reports of some 250 bytes, 10 KB/s of control bytes.
+MAX_PARTNERS = 10
 # A router that was not heard for so long has no load any more.
 REPORT_LIFE_S = 1.5
 # A router that was not heard for so long is forgotten as a partner.
@@ -43,8 +44,10 @@
 AVOID_ON_WORD_S = 1.0
 # How long a router may be behind before it asks another one.
 BEHIND_S = 0.3
-SNAPSHOT_TIMEOUT_S = 2.0
-SNAPSHOT_EVERY_S = 1.0
+SNAPSHOT_TIMEOUT_S = 1.0
+SNAPSHOT_EVERY_S = 0.5
+# So many routers watch the servers in the store; the others take their word.
+WATCHERS = 2
 _LENGTH_BYTES = 4
 
 
@@ -60,6 +63,17 @@
     report: RouterReport | None = None
 
 
+class ServerKnowledge(Protocol):
+    """How old the knowledge of the servers is."""
+
+    @property
+    def age_s(self) -> float:
+        """Time since the store confirmed the list, negative if it never did."""
+
+    def confirm(self, age_s: float) -> None:
+        """Note that the store confirmed the list as it is known here."""
+
+
 class RouterPeers(asyncio.DatagramProtocol):
     """Exchanges reports, and gives and takes snapshots.
 
@@ -69,7 +83,7 @@
     :param servers: table that the loads of others are noted in.
     :param read_version: returns the version in force here, -1 for none.
     :param make_snapshot: returns what this router knows.
-    :param needs_servers: returns whether the store has not told of servers lately.
+    :param feed: how old the knowledge of the servers is.
     :param take_snapshot: takes what another router knows.
     """
 
@@ -81,7 +95,7 @@
         servers: ServerTable,
         read_version: Callable[[], int],
         make_snapshot: Callable[[], Snapshot],
-        needs_servers: Callable[[], bool],
+        feed: ServerKnowledge,
         take_snapshot: Callable[[Snapshot], None],
     ):
         self._instance_id = instance_id
@@ -90,7 +104,7 @@
         self._servers = servers
         self._read_version = read_version
         self._make_snapshot = make_snapshot
-        self._needs_servers = needs_servers
+        self._feed = feed
         self._take_snapshot = take_snapshot
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
@@ -208,6 +222,8 @@
                 self._read_version(),
                 self.count_routers(),
                 tuple(loads[:MAX_LOADS]),
+                self._servers.digest,
+                self._feed.age_s,
             )
         )
         for ip in targets:
@@ -221,11 +237,10 @@
         ]
 
     def _note_loads(self, now_s: float) -> None:
-        # Of many routers each is heard seldom; the loads heard stand for all.
-        life_s = max(REPORT_LIFE_S, len(self._views) / MAX_PARTNERS * REPORT_S * 2)
-        heard = self._list_heard(now_s, life_s)
+        heard = self._list_heard(now_s, self._life_s)
         if not heard:
             return
+        # The loads heard stand for those of all routers.
         scale = max(1.0, (self.count_routers() - 1) / len(heard))
         sums: dict[int, list[float]] = {}
         for view in heard:
@@ -247,15 +262,31 @@
                     record.avoid_on_word(now_s + AVOID_ON_WORD_S, view.report.sender)
                 return
 
+    def is_watcher(self) -> bool:
+        """Return whether this router watches the servers in the store for others.
+
+        A router that does not know of the others counts itself in, so there may be
+        more of them than needed, never fewer for long.
+        """
+        now_s = time.monotonic()
+        others = [view.report.sender for view in self._list_heard(now_s, self._life_s)]
+        rank = sum(_order(sender) < _order(self._instance_id) for sender in others)
+        return rank < WATCHERS
+
+    @property
+    def _life_s(self) -> float:
+        # Of many routers each is heard seldom.
+        return max(REPORT_LIFE_S, len(self._views) / MAX_PARTNERS * REPORT_S * 3)
+
     async def _catch_up(self, now_s: float) -> None:
-        heard = self._list_heard(now_s, REPORT_LIFE_S)
+        heard = self._list_heard(now_s, self._life_s)
         ahead = [v for v in heard if v.report.config_version > self._read_version()]
         if ahead:
             self._behind_since_s = self._behind_since_s or now_s
         else:
             self._behind_since_s = None
         is_behind = bool(ahead) and now_s - self._behind_since_s >= BEHIND_S
-        candidates = ahead if is_behind else heard if self._needs_servers() else []
+        candidates = ahead if is_behind else self._find_fresher(heard, now_s)
         if not candidates or now_s - self._asked_s < SNAPSHOT_EVERY_S:
             return
         self._asked_s = now_s
@@ -266,6 +297,27 @@
             return
         self._take_snapshot(snapshot)
 
+    def _find_fresher(self, heard: list[PeerView], now_s: float) -> list[PeerView]:
+        """Return who knows other servers by a later word of the store."""
+        fresher = []
+        own_age_s = self._feed.age_s
+        for view in heard:
+            if view.report.servers_age_s < 0:
+                continue
+            age_s = view.report.servers_age_s + now_s - view.heard_s
+            if 0 <= own_age_s <= age_s:
+                continue
+            if view.report.servers_digest == self._servers.digest:
+                self._feed.confirm(age_s)
+                own_age_s = self._feed.age_s
+            else:
+                fresher.append(view)
+        return [v for v in fresher if self._is_fresher(v, now_s)]
+
+    def _is_fresher(self, view: PeerView, now_s: float) -> bool:
+        age_s = view.report.servers_age_s + now_s - view.heard_s
+        return self._feed.age_s < 0 or age_s < self._feed.age_s
+
     async def _ask_snapshot(self, ip: str) -> Snapshot | Failure:
         writer = None
         try:
@@ -298,6 +350,10 @@
             writer.close()
 
 
+def _order(instance_id: InstanceId) -> int:
+    return hash_name(f"watcher/{instance_id}")
+
+
 def make_router_peers(
     instance_id: InstanceId,
     ip: str,
@@ -305,7 +361,7 @@
     servers: ServerTable,
     read_version: Callable[[], int],
     make_snapshot: Callable[[], Snapshot],
-    needs_servers: Callable[[], bool],
+    feed: ServerKnowledge,
     take_snapshot: Callable[[Snapshot], None],
 ) -> RouterPeers:
     """Return an exchange that has not started.
@@ -316,7 +372,7 @@
     :param servers: table that the loads of others are noted in.
     :param read_version: returns the version in force here, -1 for none.
     :param make_snapshot: returns what this router knows.
-    :param needs_servers: returns whether the store has not told of servers lately.
+    :param feed: how old the knowledge of the servers is.
     :param take_snapshot: takes what another router knows.
     """
     return RouterPeers(
@@ -326,6 +382,6 @@
         servers,
         read_version,
         make_snapshot,
-        needs_servers,
+        feed,
         take_snapshot,
     )
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import xxhash
+
 from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.capability.routing import BackendServer, PartId, Prompt
 from bilberryspring.identifiers import InstanceId, PoolName
@@ -201,11 +203,16 @@
 
 
 class ServerTable:
-    """Every listed backend server, by pool."""
+    """Every listed backend server, by pool.
+
+    Its ``digest`` is the same at routers that know the same of the servers.
+    """
 
     def __init__(self) -> None:
         self.records: dict[InstanceId, ServerRecord] = {}
         self._pools: dict[PoolName, list[ServerRecord]] = {}
+        self._listed: dict[PoolName, list[ServerRecord]] = {}
+        self.digest = 0
 
     def put(self, server: BackendServer) -> None:
         """Add a server, or replace what is listed of it.
@@ -251,8 +258,11 @@
             self.put(server)
 
     def _rebuild(self) -> None:
-        self._pools = {}
+        self._pools, self._listed = {}, {}
+        servers = sorted(str(record.server) for record in self.records.values())
+        self.digest = xxhash.xxh3_64_intdigest("\n".join(servers).encode())
         for record in self.records.values():
+            self._listed.setdefault(record.server.pool, []).append(record)
             if record.server.is_ready:
                 self._pools.setdefault(record.server.pool, []).append(record)
 
@@ -263,6 +273,13 @@
         """
         return self._pools.get(pool, [])
 
+    def list_all(self, pool: PoolName) -> list[ServerRecord]:
+        """Return the servers of a pool, those that leave included.
+
+        :param pool: its name.
+        """
+        return self._listed.get(pool, [])
+
     def note_load(self, record: ServerRecord, load: ServerLoad | None) -> None:
         """Take a server's own word on its load when others seem to have none there.
 
--- a/bilberryspring/request/direct_queue.py
+++ b/bilberryspring/request/direct_queue.py
@@ -45,8 +45,8 @@
 MEMORY_SHARE = 0.85
 # Requests that a plain server holds beyond its slots, so that it never idles.
 SPARE_REQUESTS = 2
-# The load bound is kept with room for what other routers send meanwhile.
-BOUND_SHARE = 0.8
+# The load bound is kept with room for what other routers send before they are heard.
+BOUND_SHARE = 0.65
 LEAST_RETRY_AFTER_S = 0.05
 
 
@@ -239,7 +239,7 @@
             return make_failure(ErrorKind.NO_INSTANCE, reason, retry_after_s=0.5)
         sound = [r for r in untried if not r.is_avoided(now_s)]
         records = sound or untried
-        homes = _find_homes(request, ready)
+        homes = _rank_homes(request, self._servers.list_all(pool.name))
         views, places = [], {}
         for record in records:
             place = self._plan(record, request, pool, homes, now_s)
@@ -277,7 +277,7 @@
             return Place(record, 0, 0, self.expect_service_s(pool.name))
         shared = sum(part.tokens for part in prompt.parts[:-1])
         known = record.count_cached(prompt)
-        is_home = bool(homes) and record is homes[0]
+        is_home = record is next((h for h in homes if h.server.is_ready), None)
         cached = max(known, shared) if is_home else known
         source = None
         if pool.engine.can_fetch and known < shared:
@@ -303,12 +303,12 @@
         now_s: float,
     ) -> ServerRecord | None:
         """Return an engine that probably has more of a prompt's shared parts."""
+        is_settled = now_s - record.listed_s > SETTLED_S
         for home in homes:
             if home is record:
-                if now_s - record.listed_s > SETTLED_S:
+                if is_settled:
                     break
-                continue
-            if not home.is_avoided(now_s):
+            elif not home.is_avoided(now_s):
                 return home
         others = self._servers.list_ready(record.server.pool)
         best = max(others, key=lambda each: each.count_cached(prompt), default=None)
@@ -340,14 +340,15 @@
     return record.all_requests < pool.engine.slots
 
 
-def _find_homes(
-    request: IncomingRequest, ready: list[ServerRecord]
+def _rank_homes(
+    request: IncomingRequest, listed: list[ServerRecord]
 ) -> list[ServerRecord]:
+    """Return the first servers for a prompt's shared parts, leaving ones included."""
     prompt = request.prompt
     if prompt is None or not prompt.parts:
         return []
     key = prompt.parts[-2 if len(prompt.parts) > 1 else -1].part_id
-    records = {record.server.server_id: record for record in ready}
+    records = {record.server.server_id: record for record in listed}
     return [records[server_id] for server_id in rank_homes(key, list(records))]
 
 
