Contain requests that crash servers on the platform's router; test reports of routers

Cause: a request that crashes whatever runs it was sent on as often as its caller asked. Change: a break after a send is followed by a connection; if nothing listens, the content has crashed a server. The project's crash records judge it: the second crash, seen here or told by another router, lets the content reach no third server. Reports carry the latest. Measured: the relay's and the exchange's tests pass; with the verdict ignored two relay tests fail (the content reaches a third server).

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -70,6 +70,12 @@
         :returns: the exchange, or a failure that says that nothing was sent.
         """
 
+    async def is_down(self, server: BackendServer) -> bool:
+        """Return whether nothing listens at a server's address any more.
+
+        :param server: a server that broke a connection.
+        """
+
 
 class CallerAnswer(Protocol):
     """The answer to one caller."""
--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -11,6 +11,12 @@
   loads @5 :List(RouterLoad);
   serversDigest @6 :UInt64;
   serversAgeMs @7 :Int64;
+  crashes @8 :List(ContentCrashes);
+}
+
+struct ContentCrashes {
+  digest @0 :Text;
+  crashIds @1 :List(Text);
 }
 
 struct RouterLoad {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -22,7 +22,9 @@
 
 # One datagram that no link has to split.
 MAX_REPORT_BYTES = 1400
-MAX_LOADS = 40
+MAX_LOADS = 32
+MAX_CRASHES = 3
+MAX_CRASH_IDS = 2
 MAX_SNAPSHOT_BYTES = 8_000_000
 
 _schema = capnp.load(str(Path(__file__).with_name("router_reports.capnp")))
@@ -54,6 +56,7 @@
     :param peers: routers that it knows, itself included.
     :param servers_digest: digest of what it knows of the servers.
     :param servers_age_s: time since the store confirmed that, negative if it never did.
+    :param crashes: digests of contents that crashed servers, and ids of the crashes.
     """
 
     sender: InstanceId
@@ -64,6 +67,7 @@
     loads: tuple[RouterLoad, ...]
     servers_digest: int = 0
     servers_age_s: float = -1.0
+    crashes: tuple[tuple[str, frozenset[str]], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +102,10 @@
         sequence=report.sequence,
         configVersion=report.config_version,
         peers=min(report.peers, 0xFFFF),
+        crashes=[
+            {"digest": digest, "crashIds": sorted(crash_ids)[:MAX_CRASH_IDS]}
+            for digest, crash_ids in report.crashes[:MAX_CRASHES]
+        ],
         serversDigest=report.servers_digest,
         serversAgeMs=round(report.servers_age_s * 1000),
         loads=[
@@ -137,6 +145,9 @@
                 )
                 for load in message.loads
             ),
+            crashes=tuple(
+                (each.digest, frozenset(each.crashIds)) for each in message.crashes
+            ),
             servers_digest=message.serversDigest,
             servers_age_s=message.serversAgeMs / 1000,
         )
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -27,6 +27,8 @@
 # A server may close an idle connection unseen; a request that must not run twice goes
 # on one only if it was used just now.
 FRESH_S = 1.0
+# A server that crashed refuses at once; one without power does not answer.
+EXAMINE_TIMEOUT_S = 0.15
 MAX_IDLE_CONNECTIONS = 16
 MISDIRECTED = 421
 
@@ -120,6 +122,17 @@
         connection.send(_encode(server, request, time_left_s))
         return ServerExchange(connection, request.request_id, self, server)
 
+    async def is_down(self, server: BackendServer) -> bool:
+        """Return whether nothing listens at a server's address any more.
+
+        :param server: a server that broke a connection.
+        """
+        opened = await open_connection(server.host, server.port, EXAMINE_TIMEOUT_S)
+        if isinstance(opened, BrokenConnection):
+            return True
+        self.keep(server, opened)
+        return False
+
     def keep(self, server: BackendServer, connection: BackendConnection) -> None:
         """Keep a connection for another request.
 
--- a/bilberryspring/platform/caller_edge.py
+++ b/bilberryspring/platform/caller_edge.py
@@ -101,6 +101,9 @@
 
 def _choose_status(failure: Failure) -> int:
     status = ANSWERS[failure.kind].status
+    if failure.kind is ErrorKind.REQUEST_QUARANTINED:
+        # It was well formed, and callers read other statuses as their own fault.
+        return 503
     if failure.outcome is Outcome.NOT_RUN and status in (502, 504):
         return 503
     if failure.outcome is not Outcome.NOT_RUN and status in _PROMISING:
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -30,6 +30,7 @@
 from bilberryspring.process.router_metrics import make_router_metrics
 from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
+from bilberryspring.request.crashes import make_crash_records
 from bilberryspring.request.direct_queue import make_dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
@@ -101,12 +102,14 @@
             settings.retry_window_s,
             lambda: asyncio.get_running_loop().time(),
         )
+        self._crashes = make_crash_records()
         self._metrics = make_router_metrics(self._servers)
         self._relay = make_relay(
             self._calls,
             self._dispatcher,
             self._servers,
             self._budget,
+            self._crashes,
             self._metrics.observe,
         )
         self._configuration_feed = ConfigurationFeed(self._store, self._adopt)
@@ -125,6 +128,7 @@
             self._make_snapshot,
             self._server_feed,
             self._take_snapshot,
+            self._crashes,
         )
         self._server_feed.is_watcher = self._peers.is_watcher
         self._peers.add_addresses(list(settings.seed_ips))
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -15,6 +15,7 @@
 
 from bilberryspring.connection.load_messages import hash_name
 from bilberryspring.connection.router_reports import (
+    MAX_CRASHES,
     MAX_LOADS,
     MAX_SNAPSHOT_BYTES,
     RouterLoad,
@@ -28,6 +29,7 @@
 from bilberryspring.identifiers import InstanceId
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_table import PeerLoad, ServerTable
+from bilberryspring.request.crashes import CrashRecords
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = ["PeerView", "RouterPeers", "make_router_peers"]
@@ -85,6 +87,7 @@
     :param make_snapshot: returns what this router knows.
     :param feed: how old the knowledge of the servers is.
     :param take_snapshot: takes what another router knows.
+    :param crashes: contents that crashed servers.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         make_snapshot: Callable[[], Snapshot],
         feed: ServerKnowledge,
         take_snapshot: Callable[[Snapshot], None],
+        crashes: CrashRecords,
     ):
         self._instance_id = instance_id
         self._ip = ip
@@ -106,6 +110,7 @@
         self._make_snapshot = make_snapshot
         self._feed = feed
         self._take_snapshot = take_snapshot
+        self._crashes = crashes
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
         self._views: dict[str, PeerView] = {}
@@ -176,6 +181,8 @@
             return
         view.report = report
         view.heard_s = time.monotonic()
+        for digest, crash_ids in report.crashes:
+            self._crashes.learn(digest, crash_ids)
 
     async def run(self) -> None:
         """Send reports and take in those of others, until cancelled."""
@@ -224,6 +231,7 @@
                 tuple(loads[:MAX_LOADS]),
                 self._servers.digest,
                 self._feed.age_s,
+                tuple(self._crashes.list_recent(MAX_CRASHES)),
             )
         )
         for ip in targets:
@@ -363,6 +371,7 @@
     make_snapshot: Callable[[], Snapshot],
     feed: ServerKnowledge,
     take_snapshot: Callable[[Snapshot], None],
+    crashes: CrashRecords,
 ) -> RouterPeers:
     """Return an exchange that has not started.
 
@@ -374,6 +383,7 @@
     :param make_snapshot: returns what this router knows.
     :param feed: how old the knowledge of the servers is.
     :param take_snapshot: takes what another router knows.
+    :param crashes: contents that crashed servers.
     """
     return RouterPeers(
         instance_id,
@@ -384,4 +394,5 @@
         make_snapshot,
         feed,
         take_snapshot,
+        crashes,
     )
--- /dev/null
+++ b/bilberryspring/process/tests/test_router_peers.py
@@ -0,0 +1,211 @@
+import asyncio
+import socket
+import time
+
+import pytest
+
+from bilberryspring.connection.load_messages import hash_name
+from bilberryspring.connection.router_reports import (
+    RouterLoad,
+    RouterReport,
+    Snapshot,
+    SnapshotEntry,
+    encode_report,
+)
+from bilberryspring.process.router_peers import (
+    MAX_PARTNERS,
+    WATCHERS,
+    make_router_peers,
+)
+from bilberryspring.process.server_table import make_server_table
+from bilberryspring.request.crashes import make_crash_records
+from bilberryspring.request.errors import Failure
+from bilberryspring.request.tests.relay_rig import make_server
+
+
+class Feed:
+    def __init__(self, age_s=0.0):
+        self.age_s = age_s
+
+    def confirm(self, age_s):
+        self.age_s = age_s
+
+
+class Node:
+    """One router's exchange."""
+
+    def __init__(self, name="me", ip="127.0.0.1", port=0, version=1, age_s=0.0):
+        self.servers = make_server_table()
+        self.servers.put(make_server("a"))
+        self.version = version
+        self.feed = Feed(age_s)
+        self.taken = []
+        self.crashes = make_crash_records()
+        self.peers = make_router_peers(
+            name,
+            ip,
+            port,
+            self.servers,
+            lambda: self.version,
+            lambda: Snapshot((SnapshotEntry("op/config", b"{}", 1),), self.feed.age_s),
+            self.feed,
+            self.taken.append,
+            self.crashes,
+        )
+
+    def hear(self, sender, ip, loads=(), peers=2, sequence=1, **more):
+        report = RouterReport(sender, 1, sequence, 1, peers, tuple(loads), **more)
+        self.peers.datagram_received(encode_report(report), (ip, 9))
+
+    def note(self):
+        self.peers._note_loads(time.monotonic())
+
+
+def load(requests, **more):
+    return RouterLoad(hash_name("a"), requests, 100, 200, **more)
+
+
+def test_the_loads_of_others_are_added_up():
+    node = Node()
+    node.hear("x", "127.0.0.2", [load(3)], peers=3)
+    node.hear("y", "127.0.0.3", [load(4)], peers=3)
+    node.note()
+    peers = node.servers.records["a"].peers
+    assert (peers.requests, peers.prompt_tokens, peers.held_tokens) == (7, 200, 400)
+
+
+def test_routers_that_are_not_heard_are_counted_like_those_that_are():
+    node = Node()
+    node.hear("x", "127.0.0.2", [load(3)], peers=11)
+    node.note()
+    assert node.servers.records["a"].peers.requests == 30
+
+
+def test_an_older_report_that_comes_late_changes_nothing():
+    node = Node()
+    node.hear("x", "127.0.0.2", [load(3)], sequence=5)
+    node.hear("x", "127.0.0.2", [load(9)], sequence=4)
+    node.note()
+    assert node.servers.records["a"].peers.requests == 3
+
+
+def test_the_load_of_a_router_that_fell_silent_is_forgotten():
+    node = Node()
+    node.hear("x", "127.0.0.2", [load(3)])
+    node.hear("y", "127.0.0.3", [])
+    node.peers._views["127.0.0.2"].heard_s -= 60
+    node.note()
+    assert node.servers.records["a"].peers.requests == 0
+
+
+def test_a_server_that_another_router_suspects_is_avoided_for_a_while():
+    node = Node()
+    record = node.servers.records["a"]
+    node.hear("x", "127.0.0.2", [load(3, is_suspected=True)])
+    node.note()
+    assert record.is_avoided(time.monotonic())
+    assert not record.is_avoided(time.monotonic() + 1.1)
+    assert not record.is_suspected_here(time.monotonic())
+
+
+def test_a_server_that_was_heard_just_now_is_not_avoided_on_anothers_word():
+    node = Node()
+    record = node.servers.records["a"]
+    record.heard_s = time.monotonic()
+    node.hear("x", "127.0.0.2", [load(3, is_suspected=True)])
+    node.note()
+    assert not record.is_avoided(time.monotonic())
+
+
+def test_crashes_that_another_router_saw_are_learnt():
+    node = Node()
+    node.hear("x", "127.0.0.2", crashes=(("d", frozenset({"a/1", "b/1"})),))
+    assert isinstance(node.crashes.judge("d"), Failure)
+
+
+def test_bytes_that_are_no_report_are_ignored():
+    node = Node()
+    node.peers.datagram_received(b"\xff\x00noise", ("127.0.0.2", 9))
+    assert node.peers.count_routers() == 1
+
+
+def test_of_all_routers_a_bounded_number_watches():
+    names = [f"front-{number}" for number in range(12)]
+    watching = 0
+    for name in names:
+        node = Node(name)
+        for number, other in enumerate(names):
+            if other != name:
+                node.hear(other, f"127.0.1.{number}", peers=12)
+        watching += node.peers.is_watcher()
+    assert watching == WATCHERS
+
+
+def test_a_router_that_hears_nobody_watches_itself():
+    assert Node().peers.is_watcher()
+
+
+def test_the_same_list_with_a_fresher_word_is_confirmed():
+    node = Node(age_s=5.0)
+    node.hear("x", "127.0.0.2", servers_digest=node.servers.digest, servers_age_s=0.2)
+    heard = node.peers._list_heard(time.monotonic(), 5.0)
+    assert node.peers._find_fresher(heard, time.monotonic()) == []
+    assert node.feed.age_s < 0.5
+
+
+def test_another_list_is_asked_for_only_if_its_word_is_fresher():
+    node = Node(age_s=1.0)
+    node.hear("x", "127.0.0.2", servers_digest=5, servers_age_s=3.0)
+    node.hear("y", "127.0.0.3", servers_digest=5, servers_age_s=0.1)
+    heard = node.peers._list_heard(time.monotonic(), 5.0)
+    fresher = node.peers._find_fresher(heard, time.monotonic())
+    assert [view.report.sender for view in fresher] == ["y"]
+
+
+def test_a_report_goes_to_a_bounded_number_of_routers():
+    node = Node()
+    sent = []
+
+    class Transport:
+        def sendto(self, data, address):
+            sent.append(address)
+
+        def is_closing(self):
+            return False
+
+    node.peers._transport = Transport()
+    node.peers.add_addresses([f"127.0.2.{number}" for number in range(100)])
+    node.peers._send(time.monotonic())
+    assert len(set(sent)) == len(sent) == MAX_PARTNERS
+
+
+def find_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@pytest.mark.parametrize("behind", ["configuration", "servers"])
+async def test_a_router_that_is_behind_takes_a_snapshot(behind):
+    port = find_port()
+    ahead = Node("ahead", "127.0.0.1", port, version=7)
+    late = Node("late", "127.0.0.2", port, version=7, age_s=9.0)
+    if behind == "configuration":
+        late.version = 3
+    else:
+        ahead.servers.put(make_server("b"))
+    tasks = []
+    for node in (ahead, late):
+        await node.peers.start()
+        tasks.append(asyncio.create_task(node.peers.run()))
+    ahead.peers.add_addresses(["127.0.0.2"])
+    async with asyncio.timeout(3):
+        while not late.taken:
+            await asyncio.sleep(0.05)
+    assert late.taken[0].entries[0].key == "op/config"
+    assert not ahead.taken
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for node in (ahead, late):
+        node.peers.close()
--- a/bilberryspring/request/crashes.py
+++ b/bilberryspring/request/crashes.py
@@ -69,6 +69,14 @@
         left_s = max(noted_s + RECORD_LIFE_S - time.monotonic(), 1.0)
         return make_failure(ErrorKind.REQUEST_QUARANTINED, retry_after_s=left_s)
 
+    def list_recent(self, count: int) -> list[tuple[str, frozenset[str]]]:
+        """Return the digests with the latest crashes, each with its crash ids.
+
+        :param count: the most that are returned.
+        """
+        latest = list(self._records)[-count:] if count else []
+        return [(digest, self.find(digest)) for digest in latest if self.find(digest)]
+
     def clear(self, content_digest: str) -> None:
         """Forget the crashes of a digest, because it was answered whole.
 
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -15,11 +15,18 @@
     CallerAnswer,
     Exchange,
 )
-from bilberryspring.capability.routing import IncomingRequest, PoolLimits, RunRule
+from bilberryspring.capability.routing import (
+    BackendServer,
+    IncomingRequest,
+    PoolLimits,
+    RunRule,
+)
+from bilberryspring.identifiers import digest_content
 from bilberryspring.process.clock import read_elapsed_s
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_metrics import Observation
 from bilberryspring.process.server_table import ServerTable
+from bilberryspring.request.crashes import CrashRecords
 from bilberryspring.request.direct_queue import Dispatcher, Place
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 from bilberryspring.request.event_splitter import EventSplitter, make_event_splitter
@@ -62,6 +69,7 @@
     :param dispatcher: gives places at servers.
     :param servers: what is known of the servers.
     :param budget: bounds further sends over all routers.
+    :param crashes: contents that crashed servers.
     :param observe: takes what became of each request.
     """
 
@@ -71,12 +79,15 @@
         dispatcher: Dispatcher,
         servers: ServerTable,
         budget: FleetRetryBudget,
+        crashes: CrashRecords,
         observe: Callable[[Observation], None] = lambda _: None,
     ):
         self._calls = calls
         self._dispatcher = dispatcher
         self._servers = servers
         self._budget = budget
+        self._crashes = crashes
+        self._examinations: set[asyncio.Task[None]] = set()
         self._observe = observe
 
     async def relay(
@@ -143,7 +154,11 @@
         must_end_s: float,
     ) -> Failure | None:
         last: Failure | None = None
+        digest = _digest(request)
         while True:
+            verdict = self._crashes.judge(digest)
+            if isinstance(verdict, Failure):
+                return last or verdict
             place = await self._dispatcher.place(request, pool, must_end_s)
             if isinstance(place, Failure):
                 return last or place
@@ -161,7 +176,13 @@
                 return last
             found = await self._try_once(request, place, progress, must_end_s)
             if not isinstance(found, Failure):
+                self._crashes.clear(digest)
                 return found
+            examining = asyncio.create_task(
+                self._examine(digest, place.record.server, found)
+            )
+            self._examinations.add(examining)
+            examining.add_done_callback(self._examinations.discard)
             request.tried.add(place.record.server.server_id)
             log_event(
                 "try_failed",
@@ -183,6 +204,17 @@
                 return last
             if request.tries >= request.route.max_servers + 1:
                 return last
+            await examining
+
+    async def _examine(
+        self, digest: str, server: BackendServer, failure: Failure
+    ) -> None:
+        """Note a crash of the server, if that is why a request that ran failed."""
+        if failure.kind is not ErrorKind.BACKEND_FAILED:
+            return
+        if failure.outcome is Outcome.UNKNOWN and await self._calls.is_down(server):
+            crash_id = f"{server.server_id}/{server.started_at_ms}"
+            self._crashes.learn(digest, {crash_id})
 
     async def _try_once(
         self,
@@ -343,11 +375,18 @@
                     return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
 
+def _digest(request: IncomingRequest) -> str:
+    """Return what the same request has in common at each of its tries."""
+    content = f"{request.workspace} {request.method} {request.target}\n".encode()
+    return digest_content(content + request.body)
+
+
 def make_relay(
     calls: BackendCalls,
     dispatcher: Dispatcher,
     servers: ServerTable,
     budget: FleetRetryBudget,
+    crashes: CrashRecords,
     observe: Callable[[Observation], None] = lambda _: None,
 ) -> Relay:
     """Return a relay.
@@ -356,6 +395,7 @@
     :param dispatcher: gives places at servers.
     :param servers: what is known of the servers.
     :param budget: bounds further sends over all routers.
+    :param crashes: contents that crashed servers.
     :param observe: takes what became of each request.
     """
-    return Relay(calls, dispatcher, servers, budget, observe)
+    return Relay(calls, dispatcher, servers, budget, crashes, observe)
--- a/bilberryspring/request/tests/relay_rig.py
+++ b/bilberryspring/request/tests/relay_rig.py
@@ -16,6 +16,7 @@
 )
 from bilberryspring.process.clock import read_elapsed_s
 from bilberryspring.process.server_table import make_server_table
+from bilberryspring.request.crashes import make_crash_records
 from bilberryspring.request.direct_queue import make_dispatcher
 from bilberryspring.request.errors import ErrorKind, make_failure
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
@@ -113,6 +114,10 @@
     scripts: list
     sent: list = field(default_factory=list)
     closed: int = 0
+    down: set = field(default_factory=set)
+
+    async def is_down(self, server):
+        return server.server_id in self.down
 
     async def begin(self, server, request, time_left_s):
         script = self.scripts[len(self.sent)]
@@ -159,16 +164,21 @@
         self.is_broken = True
 
 
-async def relay(route, scripts, servers=("a", "b", "c"), extra=20, **request):
+async def relay(
+    route, scripts, servers=("a", "b", "c"), extra=20, crashes=None, down=(), **request
+):
     """Relay one request; return its answer and the calls."""
     table = make_server_table()
     for server_id in servers:
         table.put(make_server(server_id))
-    calls = Calls(list(scripts))
+    calls = Calls(list(scripts), down=set(down))
     budget = make_fleet_retry_budget(0.0, extra, 10.0, asyncio.get_running_loop().time)
     dispatcher = make_dispatcher(table, "z", 2.0)
     answer = Answer()
-    subject = make_relay(calls, dispatcher, table, budget)
+    subject = make_relay(
+        calls, dispatcher, table, budget, crashes or make_crash_records()
+    )
     await subject.relay(make_request(route, **request), SERVICE_POOL, answer)
+    await asyncio.gather(*subject._examinations)
     assert all(record.requests == 0 for record in table.records.values())
     return answer, calls
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 from bilberryspring.capability.routing import RunRule
 from bilberryspring.process.clock import read_elapsed_s
+from bilberryspring.request.crashes import make_crash_records
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
 from bilberryspring.request.tests.relay_rig import lose, make_head, make_route, relay
 
@@ -123,3 +124,36 @@
     answer, _ = await relay(ORDER, [], servers=())
     assert answer.failure.kind is ErrorKind.NO_INSTANCE
     assert answer.failure.outcome is Outcome.NOT_RUN
+
+
+async def test_a_content_that_crashed_two_servers_reaches_no_third():
+    crashes = make_crash_records()
+    for _ in range(3):
+        answer, calls = await relay(
+            ORDER, [[lose()]], servers=("a", "b"), down=("a", "b"), crashes=crashes
+        )
+        if not calls.sent:
+            break
+        crashes.learn(next(iter(crashes.list_recent(1)))[0], {"b/1"})
+    assert answer.failure.kind is ErrorKind.REQUEST_QUARANTINED
+    assert answer.failure.outcome is Outcome.NOT_RUN
+    assert answer.failure.retry_after_s > 0
+
+
+async def test_a_lookup_that_crashes_servers_is_not_sent_to_a_third():
+    route = make_route(RunRule.REPEATABLE, max_servers=5)
+    crashes = make_crash_records()
+    answer, calls = await relay(
+        route, [[lose()]] * 5, down=("a", "b", "c"), crashes=crashes
+    )
+    assert len(calls.sent) == 2
+    answer, calls = await relay(route, [WHOLE], crashes=crashes)
+    assert not calls.sent
+
+
+async def test_answers_lost_by_servers_that_live_put_no_content_under_suspicion():
+    crashes = make_crash_records()
+    for _ in range(4):
+        await relay(ORDER, [[lose()]], crashes=crashes)
+    answer, _ = await relay(ORDER, [WHOLE], crashes=crashes)
+    assert answer.is_finished
