End watches that wait when another call of the store gets no answer

Change: a call without an answer closes every connection of the client. Measured: a watch of 30 s ends within 0.2 s of such a call in the new test; without the closing it fails by construction of the wait.

--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -16,6 +16,7 @@
 from bilberryspring.connection.http_backend import (
     BackendConnection,
     BrokenConnection,
+    ResponseHead,
     open_connection,
 )
 from bilberryspring.process.addresses import split_address
@@ -100,6 +101,7 @@
     def __init__(self, address: str):
         self._host, self._port = split_address(address)
         self._idle: list[BackendConnection] = []
+        self._busy: set[BackendConnection] = set()
         self.calls = 0
 
     async def read_key(self, key: str) -> StoreItem | None | Failure:
@@ -281,24 +283,18 @@
         if body:
             lines.append("Content-Type: application/json")
         connection.send("\r\n".join([*lines, "", ""]).encode("ascii") + body)
+        self._busy.add(connection)
         try:
             async with asyncio.timeout(timeout_s):
-                head = await connection.read_head()
-                content = b""
-                while not isinstance(head, BrokenConnection):
-                    chunk = await connection.read_chunk()
-                    if isinstance(chunk, BrokenConnection):
-                        head = chunk
-                    elif chunk is None:
-                        break
-                    else:
-                        content += chunk
+                head, content = await _read_answer(connection)
         except TimeoutError:
-            connection.close()
+            self._leave_silent()
             return _fail(f"no answer from the store within {timeout_s:.1f} s")
         except asyncio.CancelledError:
             connection.close()
             raise
+        finally:
+            self._busy.discard(connection)
         if isinstance(head, BrokenConnection):
             connection.close()
             return _fail(f"connection to the store {head.kind.value}: {head.reason}")
@@ -308,6 +304,15 @@
             connection.close()
         return _decode_answer(head.status, content)
 
+    def _leave_silent(self) -> None:
+        """Close every connection: what silenced one may have silenced all.
+
+        A watch may wait for long, and would not notice by itself.
+        """
+        for connection in (*self._busy, *self._idle):
+            connection.close()
+        self._idle.clear()
+
     def _take_idle(self) -> BackendConnection | None:
         while self._idle:
             connection = self._idle.pop()
@@ -317,6 +322,21 @@
         return None
 
 
+async def _read_answer(
+    connection: BackendConnection,
+) -> tuple[ResponseHead | BrokenConnection, bytes]:
+    head = await connection.read_head()
+    content = b""
+    while not isinstance(head, BrokenConnection):
+        chunk = await connection.read_chunk()
+        if chunk is None:
+            break
+        if isinstance(chunk, BrokenConnection):
+            return chunk, content
+        content += chunk
+    return head, content
+
+
 def make_metadata_store(address: str) -> MetadataStore:
     """Return a client without connections.
 
--- a/bilberryspring/platform/tests/test_metadata_store.py
+++ b/bilberryspring/platform/tests/test_metadata_store.py
@@ -113,6 +113,17 @@
     assert await client.read_key("k") is None
 
 
+async def test_a_silent_call_ends_a_watch_that_waits(pair, monkeypatch):
+    standin, client = pair
+    monkeypatch.setattr(metadata_store, "CALL_TIMEOUT_S", 0.2)
+    standin.fault = lambda request: "silent"
+    watching = asyncio.create_task(client.watch_prefix("a/", 1, 30.0))
+    await asyncio.sleep(0.05)
+    assert isinstance(await client.read_key("k"), Failure)
+    async with asyncio.timeout(0.2):
+        assert isinstance(await watching, Failure)
+
+
 async def test_a_store_that_is_down_is_a_failure():
     client = make_metadata_store("127.0.0.1:1")
     assert isinstance(await client.read_key("k"), Failure)
