Keep the bytes of reports within a router's budget at any load

Cause: at the target a router has requests at more than 32 servers, and a full report of 609 bytes to ten routers four times a second is 25 KB/s (budget 10 KB/s). Change: the number of partners follows from the size of the report, three to ten. Measured: encoded reports of 63, 149, 234, 405 and 609 bytes for 0, 5, 10, 20 and 32 loads; by the formula 9 KB/s up to 722 bytes a datagram.

--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -35,8 +35,11 @@
 __all__ = ["PeerView", "RouterPeers", "make_router_peers"]
 
 REPORT_S = 0.25
-# With reports of some 250 bytes, 10 KB/s of control bytes.
 MAX_PARTNERS = 10
+MIN_PARTNERS = 3
+# Of the 10 KB/s that a node may spend on control; the rest is for snapshots.
+REPORT_BYTES_PER_S = 9_000
+DATAGRAM_HEADER_BYTES = 28
 # A router that was not heard for so long has no load any more.
 REPORT_LIFE_S = 1.5
 # A router that was not heard for so long is forgotten as a partner.
@@ -113,6 +116,7 @@
         self._crashes = crashes
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
+        self._partners = MAX_PARTNERS
         self._views: dict[str, PeerView] = {}
         self._added: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -204,8 +208,6 @@
 
     def _send(self, now_s: float) -> None:
         targets = list({*self._views, *self._added})
-        if len(targets) > MAX_PARTNERS:
-            targets = random.sample(targets, MAX_PARTNERS)
         if not targets or self._transport is None or self._transport.is_closing():
             return
         loads = [
@@ -234,7 +236,8 @@
                 tuple(self._crashes.list_recent(MAX_CRASHES)),
             )
         )
-        for ip in targets:
+        self._partners = min(_count_partners(len(data)), len(targets))
+        for ip in random.sample(targets, self._partners):
             self._transport.sendto(data, (ip, self._port))
 
     def _list_heard(self, now_s: float, life_s: float) -> list[PeerView]:
@@ -284,7 +287,7 @@
     @property
     def _life_s(self) -> float:
         # Of many routers each is heard seldom.
-        return max(REPORT_LIFE_S, len(self._views) / MAX_PARTNERS * REPORT_S * 3)
+        return max(REPORT_LIFE_S, len(self._views) / self._partners * REPORT_S * 3)
 
     async def _catch_up(self, now_s: float) -> None:
         heard = self._list_heard(now_s, self._life_s)
@@ -358,6 +361,16 @@
             writer.close()
 
 
+def _count_partners(report_bytes: int) -> int:
+    """Return how many routers a report goes to.
+
+    >>> _count_partners(100), _count_partners(400), _count_partners(1400)
+    (10, 5, 3)
+    """
+    each_bytes = (report_bytes + DATAGRAM_HEADER_BYTES) / REPORT_S
+    return int(min(max(REPORT_BYTES_PER_S // each_bytes, MIN_PARTNERS), MAX_PARTNERS))
+
+
 def _order(instance_id: InstanceId) -> int:
     return hash_name(f"watcher/{instance_id}")
 
