--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -12,6 +12,7 @@
   serversDigest @6 :UInt64;
   serversAgeMs @7 :Int64;
   crashes @8 :List(ContentCrashes);
+  hasFastLink @9 :Bool;
 }
 
 struct ContentCrashes {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -1,5 +1,6 @@
 """Messages between routers that call backend servers, and their Cap'n Proto codec."""
 
+import zlib
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -26,6 +27,8 @@
 MAX_CRASHES = 3
 MAX_CRASH_IDS = 2
 MAX_SNAPSHOT_BYTES = 8_000_000
+# Entries resemble each other: the lowest level leaves about a fifth of their bytes.
+SNAPSHOT_COMPRESSION = 1
 
 _schema = capnp.load(str(Path(__file__).with_name("router_reports.capnp")))
 
@@ -57,6 +60,7 @@
     :param servers_digest: digest of what it knows of the servers.
     :param servers_age_s: time since the store confirmed that, negative if it never did.
     :param crashes: digests of contents that crashed servers, and ids of the crashes.
+    :param has_fast_link: others may ask it for more than reports.
     """
 
     sender: InstanceId
@@ -68,6 +72,7 @@
     servers_digest: int = 0
     servers_age_s: float = -1.0
     crashes: tuple[tuple[str, frozenset[str]], ...] = ()
+    has_fast_link: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +111,7 @@
             {"digest": digest, "crashIds": sorted(crash_ids)[:MAX_CRASH_IDS]}
             for digest, crash_ids in report.crashes[:MAX_CRASHES]
         ],
+        hasFastLink=report.has_fast_link,
         serversDigest=report.servers_digest,
         serversAgeMs=round(report.servers_age_s * 1000),
         loads=[
@@ -148,6 +154,7 @@
             crashes=tuple(
                 (each.digest, frozenset(each.crashIds)) for each in message.crashes
             ),
+            has_fast_link=message.hasFastLink,
             servers_digest=message.serversDigest,
             servers_age_s=message.serversAgeMs / 1000,
         )
@@ -167,7 +174,7 @@
             for entry in snapshot.entries
         ],
     )
-    return message.to_bytes()
+    return zlib.compress(message.to_bytes(), SNAPSHOT_COMPRESSION)
 
 
 def decode_snapshot(data: bytes) -> Snapshot | Failure:
@@ -176,7 +183,8 @@
     :param data: a whole message.
     """
     try:
-        with _schema.Snapshot.from_bytes(data) as message:
+        unpacked = zlib.decompressobj().decompress(data, MAX_SNAPSHOT_BYTES)
+        with _schema.Snapshot.from_bytes(unpacked) as message:
             return Snapshot(
                 tuple(
                     SnapshotEntry(entry.key, bytes(entry.value), entry.revision)
@@ -184,5 +192,5 @@
                 ),
                 message.serversAgeMs / 1000,
             )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+    except (zlib.error, capnp.KjException, ValueError) as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"no snapshot: {error}")
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -49,6 +49,8 @@
 # No new connection is taken for so long before the end, so that answers can end.
 LAST_ANSWERS_S = 2.5
 POLL_S = 0.05
+# Snapshots of a hundred kilobytes must not hold up what callers wait for.
+FAST_LINK_MBPS = 50.0
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 FAULT_KINDS = {
@@ -129,6 +131,7 @@
             self._server_feed,
             self._take_snapshot,
             self._crashes,
+            settings.link_mbps >= FAST_LINK_MBPS,
         )
         self._server_feed.is_watcher = self._peers.is_watcher
         self._peers.add_addresses(list(settings.seed_ips))
@@ -191,6 +194,7 @@
             self._peers.run,
             self._directory.run,
             self._keep_up,
+            self._count,
         ):
             self._tasks.append(loop.create_task(self._guard(run)))
 
@@ -202,18 +206,22 @@
                 log_event("task_failed", level="ERROR", error=repr(error))
                 await asyncio.sleep(UPKEEP_S)
 
-    async def _keep_up(self) -> None:
+    async def _count(self) -> None:
         await asyncio.sleep(METRICS_DELAY_S)
         while True:
-            await asyncio.sleep(UPKEEP_S)
             self._metrics.fold()
+            await asyncio.sleep(UPKEEP_S)
+
+    async def _keep_up(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_S)
             self._calls.close_idle()
             self._budget.routers = self._peers.count_routers()
             self._dispatcher.serve_all_waiting()
 
-    def _make_snapshot(self) -> Snapshot:
+    def _make_snapshot(self, with_configuration: bool) -> Snapshot:
         entries = list(self._server_feed.entries.values())
-        if self._configuration_feed.entry is not None:
+        if with_configuration and self._configuration_feed.entry is not None:
             entries.append(self._configuration_feed.entry)
         return Snapshot(tuple(entries), self._server_feed.age_s)
 
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -22,6 +22,7 @@
     :param caller_address: where callers connect.
     :param readiness_address: where the balancer asks whether callers may come.
     :param peer_port: port for datagrams between routers.
+    :param link_mbps: bandwidth of the machine's link.
     :param seed_ips: machines on which other routers may run; they may be gone.
     :param leaving_s: time after which a leaving server must get no more work.
     :param stop_s: time between the order to stop and the end by force.
@@ -36,6 +37,7 @@
     caller_address: str
     readiness_address: str
     peer_port: int
+    link_mbps: float
     seed_ips: tuple[str, ...]
     store_address: str
     leaving_s: float
@@ -133,6 +135,7 @@
         "caller_address": read("listen.front", _check_address),
         "readiness_address": read("listen.ready", _check_address),
         "peer_port": read("internalPorts", _check_ports),
+        "link_mbps": read("limits.linkMbps", _check_positive, 1000.0),
         "seed_ips": read("seeds", _check_seeds, ()),
         "store_address": read("platform.address", _check_address),
         "leaving_s": read("bounds.drainMs", _check_positive, 2000.0) / 1000,
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -54,6 +54,8 @@
 # So many routers watch the servers in the store; the others take their word.
 WATCHERS = 2
 _LENGTH_BYTES = 4
+_ASK_ALL = b"a"
+_ASK_SERVERS = b"s"
 
 
 @dataclass(slots=True)
@@ -87,10 +89,12 @@
     :param port: port of all routers, for datagrams and for snapshots.
     :param servers: table that the loads of others are noted in.
     :param read_version: returns the version in force here, -1 for none.
-    :param make_snapshot: returns what this router knows.
+    :param make_snapshot: returns what this router knows, with the configuration or
+        without.
     :param feed: how old the knowledge of the servers is.
     :param take_snapshot: takes what another router knows.
     :param crashes: contents that crashed servers.
+    :param has_fast_link: others may ask this router for more than reports.
     """
 
     def __init__(
@@ -100,10 +104,11 @@
         port: int,
         servers: ServerTable,
         read_version: Callable[[], int],
-        make_snapshot: Callable[[], Snapshot],
+        make_snapshot: Callable[[bool], Snapshot],
         feed: ServerKnowledge,
         take_snapshot: Callable[[Snapshot], None],
         crashes: CrashRecords,
+        has_fast_link: bool = True,
     ):
         self._instance_id = instance_id
         self._ip = ip
@@ -114,6 +119,7 @@
         self._feed = feed
         self._take_snapshot = take_snapshot
         self._crashes = crashes
+        self._has_fast_link = has_fast_link
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
         self._partners = MAX_PARTNERS
@@ -234,6 +240,7 @@
                 self._servers.digest,
                 self._feed.age_s,
                 tuple(self._crashes.list_recent(MAX_CRASHES)),
+                self._has_fast_link,
             )
         )
         self._partners = min(_count_partners(len(data)), len(targets))
@@ -264,7 +271,8 @@
                     self._avoid(load.server, view, now_s)
         for server_id, record in self._servers.records.items():
             total = sums.get(hash_name(server_id), (0.0, 0.0, 0.0))
-            record.peers = PeerLoad(*(each * scale for each in total))
+            told = PeerLoad(*(each * scale for each in total))
+            record.note_peers(told, now_s)
 
     def _avoid(self, server: int, view: PeerView, now_s: float) -> None:
         for server_id, record in self._servers.records.items():
@@ -280,8 +288,9 @@
         more of them than needed, never fewer for long.
         """
         now_s = time.monotonic()
-        others = [view.report.sender for view in self._list_heard(now_s, self._life_s)]
-        rank = sum(_order(sender) < _order(self._instance_id) for sender in others)
+        own = _order(self._has_fast_link, self._instance_id)
+        heard = [view.report for view in self._list_heard(now_s, self._life_s)]
+        rank = sum(_order(each.has_fast_link, each.sender) < own for each in heard)
         return rank < WATCHERS
 
     @property
@@ -301,8 +310,9 @@
         if not candidates or now_s - self._asked_s < SNAPSHOT_EVERY_S:
             return
         self._asked_s = now_s
-        view = random.choice(candidates)
-        snapshot = await self._ask_snapshot(view.ip)
+        fast = [view for view in candidates if view.report.has_fast_link]
+        view = random.choice(fast or candidates)
+        snapshot = await self._ask_snapshot(view.ip, is_behind)
         if isinstance(snapshot, Failure):
             log_event("call_failed", level="WARNING", error=snapshot.reason)
             return
@@ -329,11 +339,14 @@
         age_s = view.report.servers_age_s + now_s - view.heard_s
         return self._feed.age_s < 0 or age_s < self._feed.age_s
 
-    async def _ask_snapshot(self, ip: str) -> Snapshot | Failure:
+    async def _ask_snapshot(
+        self, ip: str, with_configuration: bool
+    ) -> Snapshot | Failure:
         writer = None
         try:
             async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(ip, self._port)
+                writer.write(_ASK_ALL if with_configuration else _ASK_SERVERS)
                 header = await reader.readexactly(_LENGTH_BYTES)
                 length_bytes = int.from_bytes(header, "big")
                 if length_bytes > MAX_SNAPSHOT_BYTES:
@@ -351,11 +364,12 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            data = encode_snapshot(self._make_snapshot())
-            writer.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
             async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
+                asked = await reader.readexactly(len(_ASK_ALL))
+                data = encode_snapshot(self._make_snapshot(asked == _ASK_ALL))
+                writer.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
                 await writer.drain()
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             log_event("call_failed", level="WARNING", error=repr(error))
         finally:
             writer.close()
@@ -371,8 +385,8 @@
     return int(min(max(REPORT_BYTES_PER_S // each_bytes, MIN_PARTNERS), MAX_PARTNERS))
 
 
-def _order(instance_id: InstanceId) -> int:
-    return hash_name(f"watcher/{instance_id}")
+def _order(has_fast_link: bool, instance_id: InstanceId) -> tuple[bool, int]:
+    return not has_fast_link, hash_name(f"watcher/{instance_id}")
 
 
 def make_router_peers(
@@ -381,10 +395,11 @@
     port: int,
     servers: ServerTable,
     read_version: Callable[[], int],
-    make_snapshot: Callable[[], Snapshot],
+    make_snapshot: Callable[[bool], Snapshot],
     feed: ServerKnowledge,
     take_snapshot: Callable[[Snapshot], None],
     crashes: CrashRecords,
+    has_fast_link: bool = True,
 ) -> RouterPeers:
     """Return an exchange that has not started.
 
@@ -393,10 +408,12 @@
     :param port: port of all routers, for datagrams and for snapshots.
     :param servers: table that the loads of others are noted in.
     :param read_version: returns the version in force here, -1 for none.
-    :param make_snapshot: returns what this router knows.
+    :param make_snapshot: returns what this router knows, with the configuration or
+        without.
     :param feed: how old the knowledge of the servers is.
     :param take_snapshot: takes what another router knows.
     :param crashes: contents that crashed servers.
+    :param has_fast_link: others may ask this router for more than reports.
     """
     return RouterPeers(
         instance_id,
@@ -408,4 +425,5 @@
         feed,
         take_snapshot,
         crashes,
+        has_fast_link,
     )
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -20,6 +20,8 @@
 # First pause after a failure, doubled up to the longest for each further one.
 FIRST_AVOID_S = 0.5
 LONGEST_AVOID_S = 4.0
+# A server's own word on its load goes before that of other routers for so long.
+TOLD_LOAD_S = 0.5
 # Parts remembered of each server; a hundred bytes each.
 MAX_PARTS = 4096
 # Weight of the newest sample of a server's relative slowness.
@@ -47,6 +49,7 @@
     :param requests: requests of this router that it has.
     :param prompt_tokens: tokens that it is yet to read for them.
     :param held_tokens: tokens that they take in its memory, read and generated.
+    :param told_load_s: when the server itself told its load.
     :param waiting: when each request that it has was sent or last answered in part.
     :param failures: failures in a row.
     :param slowness: time that answers take, over the time expected.
@@ -59,6 +62,7 @@
     prompt_tokens: int = 0
     held_tokens: int = 0
     peers: PeerLoad = field(default_factory=PeerLoad)
+    told_load_s: float = -1.0
     waiting: dict[object, float] = field(default_factory=dict)
     heard_s: float = 0.0
     failures: int = 0
@@ -72,6 +76,16 @@
         """Requests of all routers that it has, as far as is known."""
         return self.requests + self.peers.requests
 
+    def note_peers(self, told: PeerLoad, now_s: float) -> None:
+        """Take what other routers told of their loads here.
+
+        :param told: their loads together.
+        :param now_s: monotonic time.
+        """
+        if now_s - self.told_load_s < TOLD_LOAD_S:
+            told.requests = self.peers.requests
+        self.peers = told
+
     def is_silent(self, now_s: float) -> bool:
         """Return whether it has long said nothing although requests wait there.
 
@@ -281,7 +295,7 @@
         return self._listed.get(pool, [])
 
     def note_load(self, record: ServerRecord, load: ServerLoad | None) -> None:
-        """Take a server's own word on its load when others seem to have none there.
+        """Take a server's own word on its load.
 
         :param record: the server.
         :param load: what it told with an answer, or ``None``.
@@ -289,6 +303,7 @@
         if load is not None:
             others = load.running + load.waiting - record.requests
             record.peers.requests = max(float(others), 0.0)
+            record.told_load_s = time.monotonic()
 
 
 def _is_other_start(known: BackendServer, found: BackendServer) -> bool:
--- a/bilberryspring/process/tests/test_router_peers.py
+++ b/bilberryspring/process/tests/test_router_peers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.connection.load_messages import hash_name
 from bilberryspring.connection.router_reports import (
     RouterLoad,
@@ -34,7 +35,15 @@
 class Node:
     """One router's exchange."""
 
-    def __init__(self, name="me", ip="127.0.0.1", port=0, version=1, age_s=0.0):
+    def __init__(
+        self,
+        name="me",
+        ip="127.0.0.1",
+        port=0,
+        version=1,
+        age_s=0.0,
+        has_fast_link=True,
+    ):
         self.servers = make_server_table()
         self.servers.put(make_server("a"))
         self.version = version
@@ -47,12 +56,16 @@
             port,
             self.servers,
             lambda: self.version,
-            lambda: Snapshot((SnapshotEntry("op/config", b"{}", 1),), self.feed.age_s),
+            self.make_snapshot,
             self.feed,
             self.taken.append,
             self.crashes,
+            has_fast_link,
         )
 
+    def make_snapshot(self, with_configuration):
+        return Snapshot((SnapshotEntry("op/config", b"{}", 1),), self.feed.age_s)
+
     def hear(self, sender, ip, loads=(), peers=2, sequence=1, **more):
         report = RouterReport(sender, 1, sequence, 1, peers, tuple(loads), **more)
         self.peers.datagram_received(encode_report(report), (ip, 9))
@@ -141,6 +154,32 @@
     assert watching == WATCHERS
 
 
+def test_routers_with_slow_links_watch_only_if_there_are_no_others():
+    names = [f"front-{number}" for number in range(6)]
+    watching = []
+    for name in names:
+        node = Node(name, has_fast_link=name in names[:2])
+        for number, other in enumerate(names):
+            if other != name:
+                fast = other in names[:2]
+                node.hear(other, f"127.0.1.{number}", peers=6, has_fast_link=fast)
+        if node.peers.is_watcher():
+            watching.append(name)
+    assert watching == names[:2]
+
+
+def test_the_servers_own_word_goes_before_others_for_a_while():
+    node = Node()
+    record = node.servers.records["a"]
+    node.servers.note_load(record, ServerLoad(9, 1, 4))
+    node.hear("x", "127.0.0.2", [load(3)])
+    node.note()
+    assert (record.peers.requests, record.peers.prompt_tokens) == (10, 100)
+    record.told_load_s -= 1
+    node.note()
+    assert record.peers.requests == 3
+
+
 def test_a_router_that_hears_nobody_watches_itself():
     assert Node().peers.is_watcher()
 
--- a/bilberryspring/request/direct_queue.py
+++ b/bilberryspring/request/direct_queue.py
@@ -45,8 +45,10 @@
 MEMORY_SHARE = 0.85
 # Requests that a plain server holds beyond its slots, so that it never idles.
 SPARE_REQUESTS = 2
+# Requests that a plain server is believed to hold at most, over its slots.
+MOST_WAVES = 3
 # The load bound is kept with room for what other routers send before they are heard.
-BOUND_SHARE = 0.65
+BOUND_SHARE = 0.75
 LEAST_RETRY_AFTER_S = 0.05
 
 
@@ -333,7 +335,10 @@
 
 def _has_room(record: ServerRecord, place: Place, pool: PoolLimits) -> bool:
     if pool.engine is None:
-        return record.all_requests < record.server.slots + SPARE_REQUESTS
+        # Loads of other routers are estimates; a server that is full refuses by itself.
+        slots = record.server.slots
+        own_room = record.requests < slots + SPARE_REQUESTS
+        return own_room and record.all_requests < slots * MOST_WAVES
     held = record.held_tokens + record.peers.held_tokens + place.held_tokens
     if record.requests and held > pool.engine.cache_tokens * MEMORY_SHARE:
         return False
