Tighten the load bound to 1.3 times the mean, answer at the control address

The deploy file serves the control address for its seeds, and nothing listened there. Change: 1.3 times the mean; 404 at that address.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -175,7 +175,10 @@
         for address, handle, connections in (
             (self._settings.caller_address, self._handle, self._connections),
             (self._settings.readiness_address, self._tell_readiness, set()),
+            (self._settings.control_address, self._refuse_control, set()),
         ):
+            if not address:
+                continue
             host, port = split_address(address)
             listener = await loop.create_server(
                 lambda handle=handle, connections=connections: CallerConnection(
@@ -265,6 +268,12 @@
         status, reason = (200, "OK") if self.is_ready else (503, "Service Unavailable")
         connection.start_answer(status, reason, [], 0)
 
+    async def _refuse_control(
+        self, request: HttpRequest, connection: CallerConnection
+    ) -> None:
+        # The address is served for the seeds, which name machines with one.
+        connection.start_answer(404, "Not Found", [], 0)
+
     async def _handle(self, request: HttpRequest, connection: CallerConnection) -> None:
         if request.fault:
             kind = FAULT_KINDS[request.fault]
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -21,6 +21,7 @@
 
     :param caller_address: where callers connect.
     :param readiness_address: where the balancer asks whether callers may come.
+    :param control_address: where servers of the platform may call, empty for nowhere.
     :param peer_port: port for datagrams between routers.
     :param link_mbps: bandwidth of the machine's link.
     :param seed_ips: machines on which other routers may run; they may be gone.
@@ -36,6 +37,7 @@
     availability_zone: str
     caller_address: str
     readiness_address: str
+    control_address: str
     peer_port: int
     link_mbps: float
     seed_ips: tuple[str, ...]
@@ -134,6 +136,7 @@
         "availability_zone": read("zone", _check_text),
         "caller_address": read("listen.front", _check_address),
         "readiness_address": read("listen.ready", _check_address),
+        "control_address": read("listen.control", _check_address, ""),
         "peer_port": read("internalPorts", _check_ports),
         "link_mbps": read("limits.linkMbps", _check_positive, 1000.0),
         "seed_ips": read("seeds", _check_seeds, ()),
--- a/bilberryspring/request/direct_queue.py
+++ b/bilberryspring/request/direct_queue.py
@@ -48,7 +48,7 @@
 # Requests that a plain server is believed to hold at most, over its slots.
 MOST_WAVES = 3
 # The load bound is kept with room for what other routers send before they are heard.
-BOUND_SHARE = 0.75
+BOUND_SHARE = 0.65
 LEAST_RETRY_AFTER_S = 0.05
 
 
