--- a/bilberryspring/platform/feeds.py
+++ b/bilberryspring/platform/feeds.py
@@ -8,11 +8,8 @@
 from bilberryspring.connection.router_reports import SnapshotEntry
 from bilberryspring.identifiers import InstanceId
 from bilberryspring.platform.documents import decode_routing_table, decode_server
-from bilberryspring.platform.metadata_store import (
-    HistoryGone,
-    MetadataStore,
-    StoreItem,
-)
+from bilberryspring.platform.metadata_messages import HistoryGone, StoreItem
+from bilberryspring.platform.metadata_store import MetadataStore
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_table import ServerTable
 from bilberryspring.request.errors import Failure
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -4,11 +4,13 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 
 import uvloop
 
 from bilberryspring import __version__
-from bilberryspring.capability.routing import CallerLimits, RoutingTable
+from bilberryspring.capability.routing import RoutingTable
+from bilberryspring.connection.caller_policy import CallerPolicy
 from bilberryspring.connection.http_caller import CallerConnection, HttpRequest
 from bilberryspring.connection.router_reports import Snapshot
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName
@@ -61,24 +63,6 @@
 }
 
 
-class CallerPolicy:
-    """Limits of callers' connections, as the configuration in force has them."""
-
-    def __init__(self) -> None:
-        self.is_closing = False
-        self.apply(CallerLimits())
-
-    def apply(self, limits: CallerLimits) -> None:
-        """Put limits in force.
-
-        :param limits: limits of a configuration.
-        """
-        self.header_bytes = limits.header_bytes
-        self.body_bytes = limits.body_bytes
-        self.header_s = limits.header_s
-        self.idle_s = limits.idle_s
-
-
 class FrontRouter:
     """Everything that lives as long as the process.
 
@@ -141,31 +125,32 @@
             settings.ip,
             self._peers.add_addresses,
         )
-        self._metrics.gauges.update(
-            {
-                "configuration_version": (
-                    "Version in force, -1 for none",
-                    lambda: -1 if self._table is None else self._table.version,
-                ),
-                "server_list_age_seconds": (
-                    "Time since the store confirmed the servers, -1 for never",
-                    lambda: self._server_feed.age_s,
-                ),
-                "store_calls": ("Calls of the store", lambda: self._store.calls),
-                "server_connections_opened": (
-                    "New connections to servers",
-                    lambda: self._calls.opened,
-                ),
-                "routers": ("Routers known", self._peers.count_routers),
-                "caller_connections": (
-                    "Open connections of callers",
-                    lambda: len(self._connections),
-                ),
-            }
-        )
+        self._metrics.gauges.update(self._list_gauges())
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
 
+    def _list_gauges(self) -> dict[str, tuple[str, Callable[[], float]]]:
+        return {
+            "configuration_version": (
+                "Version in force, -1 for none",
+                lambda: -1 if self._table is None else self._table.version,
+            ),
+            "server_list_age_seconds": (
+                "Time since the store confirmed the servers, -1 for never",
+                lambda: self._server_feed.age_s,
+            ),
+            "store_calls": ("Calls of the store", lambda: self._store.calls),
+            "server_connections_opened": (
+                "New connections to servers",
+                lambda: self._calls.opened,
+            ),
+            "routers": ("Routers known", self._peers.count_routers),
+            "caller_connections": (
+                "Open connections of callers",
+                lambda: len(self._connections),
+            ),
+        }
+
     async def start(self) -> None:
         """Listen, and begin to follow the store.
 
--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -7,10 +7,8 @@
 
 import asyncio
 import base64
-import binascii
 import json
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from urllib.parse import quote
 
 from bilberryspring.connection.http_backend import (
@@ -19,19 +17,25 @@
     ResponseHead,
     open_connection,
 )
+from bilberryspring.platform.metadata_messages import (
+    HistoryGone,
+    Lease,
+    StoreChanges,
+    StoreConflict,
+    StoreItem,
+    StoreListing,
+    decode_answer,
+    decode_changes,
+    decode_item,
+    decode_page,
+    fail_store,
+    read_body,
+    read_int,
+)
 from bilberryspring.process.addresses import split_address
-from bilberryspring.request.errors import ErrorKind, Failure, make_failure
-
-__all__ = [
-    "HistoryGone",
-    "Lease",
-    "MetadataStore",
-    "StoreChanges",
-    "StoreConflict",
-    "StoreItem",
-    "StoreListing",
-    "make_metadata_store",
-]
+from bilberryspring.request.errors import Failure
+
+__all__ = ["MetadataStore", "make_metadata_store"]
 
 # The store answers in some milliseconds; an answer that takes a second is late enough
 # to ask over a new connection.
@@ -39,59 +43,6 @@
 CONNECT_TIMEOUT_S = 0.7
 
 
-@dataclass(frozen=True, slots=True)
-class StoreItem:
-    """One key as the store holds it.
-
-    :param value: ``None`` if the key was removed.
-    :param revision: revision of its last change.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreListing:
-    """Every key of a prefix; pages of a long list are of different moments.
-
-    :param revision: revision of the store at the first page.
-    """
-
-    items: tuple[StoreItem, ...]
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreChanges:
-    """Changes since a revision.
-
-    :param revision: where the next question goes on.
-    """
-
-    items: tuple[StoreItem, ...]
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class HistoryGone:
-    """Sentinel value: the store has dropped the changes since the revision."""
-
-
-@dataclass(frozen=True, slots=True)
-class StoreConflict:
-    """Sentinel value: a condition of a transaction did not hold, nothing was done."""
-
-
-@dataclass(frozen=True, slots=True)
-class Lease:
-    """A lease that keys are attached to."""
-
-    lease_id: int
-    duration_s: float
-
-
 class MetadataStore:
     """Calls the store over connections that are kept, one call at a time each.
 
@@ -116,7 +67,7 @@
         status, body = answer
         if status == 404:
             return None
-        return _guard(status, body, lambda: _decode_item(body))
+        return read_body(status, body, decode_item)
 
     async def list_prefix(
         self, prefix: str, *, may_be_stale: bool = False
@@ -138,7 +89,7 @@
             if isinstance(answer, Failure):
                 return answer
             status, body = answer
-            page = _guard(status, body, lambda body=body: _decode_page(body))
+            page = read_body(status, body, decode_page)
             if isinstance(page, Failure):
                 return page
             found, revision, is_truncated = page
@@ -168,7 +119,9 @@
         status, body = answer
         if status == 410:
             return HistoryGone()
-        return _guard(status, body, lambda: _decode_changes(body, since_revision))
+        return read_body(
+            status, body, lambda found: decode_changes(found, since_revision)
+        )
 
     async def commit(
         self,
@@ -208,7 +161,7 @@
         status, body = answer
         if status == 412:
             return StoreConflict()
-        return _guard(status, body, lambda: _read_int(body, "revision"))
+        return read_body(status, body, lambda found: read_int(found, "revision"))
 
     async def grant_lease(self, duration_s: float) -> Lease | Failure:
         """Take a lease.
@@ -220,10 +173,12 @@
         if isinstance(answer, Failure):
             return answer
         status, body = answer
-        return _guard(
+        return read_body(
             status,
             body,
-            lambda: Lease(_read_int(body, "lease"), _read_int(body, "ttlMs") / 1000),
+            lambda found: Lease(
+                read_int(found, "lease"), read_int(found, "ttlMs") / 1000
+            ),
         )
 
     async def renew_lease(self, lease_id: int) -> bool | Failure:
@@ -232,13 +187,7 @@
         :param lease_id: the lease.
         :returns: whether it still existed.
         """
-        answer = await self._call("POST", f"/kv-keep/{lease_id}")
-        if isinstance(answer, Failure):
-            return answer
-        status, body = answer
-        if status == 404:
-            return False
-        return _guard(status, body, lambda: True)
+        return await self._reach_lease("POST", f"/kv-keep/{lease_id}")
 
     async def end_lease(self, lease_id: int) -> bool | Failure:
         """End a lease and remove its keys.
@@ -246,13 +195,16 @@
         :param lease_id: the lease.
         :returns: whether it still existed.
         """
-        answer = await self._call("DELETE", f"/kv-lease-end/{lease_id}")
+        return await self._reach_lease("DELETE", f"/kv-lease-end/{lease_id}")
+
+    async def _reach_lease(self, method: str, path: str) -> bool | Failure:
+        answer = await self._call(method, path)
         if isinstance(answer, Failure):
             return answer
         status, body = answer
         if status == 404:
             return False
-        return _guard(status, body, lambda: True)
+        return read_body(status, body, lambda _: True)
 
     def close(self) -> None:
         """Close the connections."""
@@ -272,7 +224,7 @@
         if connection is None:
             opened = await open_connection(self._host, self._port, CONNECT_TIMEOUT_S)
             if isinstance(opened, BrokenConnection):
-                return _fail(f"store not reached: {opened.reason}")
+                return fail_store(f"store not reached: {opened.reason}")
             connection = opened
         body = b"" if document is None else json.dumps(document).encode()
         lines = [
@@ -289,7 +241,7 @@
                 head, content = await _read_answer(connection)
         except TimeoutError:
             self._leave_silent()
-            return _fail(f"no answer from the store within {timeout_s:.1f} s")
+            return fail_store(f"no answer from the store within {timeout_s:.1f} s")
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -297,12 +249,12 @@
             self._busy.discard(connection)
         if isinstance(head, BrokenConnection):
             connection.close()
-            return _fail(f"connection to the store {head.kind.value}: {head.reason}")
+            return fail_store(f"connection {head.kind.value}: {head.reason}")
         if connection.is_reusable:
             self._idle.append(connection)
         else:
             connection.close()
-        return _decode_answer(head.status, content)
+        return decode_answer(head.status, content)
 
     def _leave_silent(self) -> None:
         """Close every connection: what silenced one may have silenced all.
@@ -343,61 +295,3 @@
     :param address: ``ip:port`` of the store.
     """
     return MetadataStore(address)
-
-
-def _fail(reason: str) -> Failure:
-    return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
-
-
-_EXPECTED = (200, 404, 410, 412)
-
-
-def _decode_answer(status: int, content: bytes) -> tuple[int, dict] | Failure:
-    if status not in _EXPECTED:
-        return _fail(f"the store answered {status}")
-    if status != 200:
-        return status, {}
-    try:
-        body = json.loads(content) if content else {}
-    except ValueError as error:
-        return _fail(f"the store's answer is not JSON: {error}")
-    if not isinstance(body, dict):
-        return _fail("the store's answer is not an object")
-    return status, body
-
-
-def _guard(status, body, decode):
-    if status != 200:
-        return _fail(f"the store answered {status}")
-    try:
-        return decode()
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        return _fail(f"the store's answer cannot be read: {error!r}")
-
-
-def _read_int(body: Mapping, name: str) -> int:
-    value = body[name]
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{name} is not a whole number")
-    return value
-
-
-def _decode_item(body: Mapping) -> StoreItem:
-    key, revision = body["key"], _read_int(body, "revision")
-    if not isinstance(key, str):
-        raise ValueError("a key is not text")
-    if body.get("tombstone"):
-        return StoreItem(key, None, revision)
-    return StoreItem(key, base64.b64decode(body["value"], validate=True), revision)
-
-
-def _decode_page(body: Mapping) -> tuple[list[StoreItem], int, bool]:
-    items = [_decode_item(each) for each in body["items"]]
-    return items, _read_int(body, "currentRev"), bool(body.get("truncated"))
-
-
-def _decode_changes(body: Mapping, since_revision: int) -> StoreChanges:
-    items = tuple(_decode_item(each) for each in body["events"])
-    # An answer without events may repeat an older revision than the one asked for.
-    revision = max(_read_int(body, "currentRev"), since_revision)
-    return StoreChanges(items, revision)
--- a/bilberryspring/platform/tests/test_feeds.py
+++ b/bilberryspring/platform/tests/test_feeds.py
@@ -6,7 +6,8 @@
 
 from bilberryspring.connection.router_reports import SnapshotEntry
 from bilberryspring.platform.feeds import ConfigurationFeed, ServerFeed
-from bilberryspring.platform.metadata_store import StoreItem, make_metadata_store
+from bilberryspring.platform.metadata_messages import StoreItem
+from bilberryspring.platform.metadata_store import make_metadata_store
 from bilberryspring.platform.tests.platform_standin import (
     CONFIGURATION,
     ServerStandin,
--- a/bilberryspring/platform/tests/test_metadata_store.py
+++ b/bilberryspring/platform/tests/test_metadata_store.py
@@ -5,11 +5,8 @@
 from aiohttp import web
 
 from bilberryspring.platform import metadata_store
-from bilberryspring.platform.metadata_store import (
-    HistoryGone,
-    StoreConflict,
-    make_metadata_store,
-)
+from bilberryspring.platform.metadata_messages import HistoryGone, StoreConflict
+from bilberryspring.platform.metadata_store import make_metadata_store
 from bilberryspring.platform.tests.platform_standin import StoreStandin
 from bilberryspring.request.errors import ErrorKind, Failure
 
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -17,20 +17,18 @@
 from bilberryspring.connection.router_reports import (
     MAX_CRASHES,
     MAX_LOADS,
-    MAX_SNAPSHOT_BYTES,
     RouterLoad,
     RouterReport,
     Snapshot,
     decode_report,
-    decode_snapshot,
     encode_report,
-    encode_snapshot,
 )
 from bilberryspring.identifiers import InstanceId
 from bilberryspring.process.logs import log_event
+from bilberryspring.process.router_snapshots import ask_snapshot, listen_for_askers
 from bilberryspring.process.server_table import PeerLoad, ServerTable
 from bilberryspring.request.crashes import CrashRecords
-from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+from bilberryspring.request.errors import Failure
 
 __all__ = ["PeerView", "RouterPeers", "make_router_peers"]
 
@@ -49,13 +47,9 @@
 AVOID_ON_WORD_S = 1.0
 # How long a router may be behind before it asks another one.
 BEHIND_S = 0.3
-SNAPSHOT_TIMEOUT_S = 1.0
 SNAPSHOT_EVERY_S = 0.5
 # So many routers watch the servers in the store; the others take their word.
 WATCHERS = 2
-_LENGTH_BYTES = 4
-_ASK_ALL = b"a"
-_ASK_SERVERS = b"s"
 
 
 @dataclass(slots=True)
@@ -139,8 +133,8 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self._ip, self._port)
         )
-        self._listener = await asyncio.start_server(
-            self._give_snapshot, self._ip, self._port
+        self._listener = await listen_for_askers(
+            self._ip, self._port, self._make_snapshot
         )
 
     def close(self) -> None:
@@ -312,7 +306,7 @@
         self._asked_s = now_s
         fast = [view for view in candidates if view.report.has_fast_link]
         view = random.choice(fast or candidates)
-        snapshot = await self._ask_snapshot(view.ip, is_behind)
+        snapshot = await ask_snapshot(view.ip, self._port, is_behind)
         if isinstance(snapshot, Failure):
             log_event("call_failed", level="WARNING", error=snapshot.reason)
             return
@@ -339,41 +333,6 @@
         age_s = view.report.servers_age_s + now_s - view.heard_s
         return self._feed.age_s < 0 or age_s < self._feed.age_s
 
-    async def _ask_snapshot(
-        self, ip: str, with_configuration: bool
-    ) -> Snapshot | Failure:
-        writer = None
-        try:
-            async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(ip, self._port)
-                writer.write(_ASK_ALL if with_configuration else _ASK_SERVERS)
-                header = await reader.readexactly(_LENGTH_BYTES)
-                length_bytes = int.from_bytes(header, "big")
-                if length_bytes > MAX_SNAPSHOT_BYTES:
-                    reason = f"{length_bytes} bytes from {ip} are too many"
-                    return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
-                return decode_snapshot(await reader.readexactly(length_bytes))
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            reason = f"no snapshot from {ip}: {error!r}"
-            return make_failure(ErrorKind.PEER_UNREACHABLE, reason)
-        finally:
-            if writer is not None:
-                writer.close()
-
-    async def _give_snapshot(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            async with asyncio.timeout(SNAPSHOT_TIMEOUT_S):
-                asked = await reader.readexactly(len(_ASK_ALL))
-                data = encode_snapshot(self._make_snapshot(asked == _ASK_ALL))
-                writer.write(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
-                await writer.drain()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            log_event("call_failed", level="WARNING", error=repr(error))
-        finally:
-            writer.close()
-
 
 def _count_partners(report_bytes: int) -> int:
     """Return how many routers a report goes to.
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from bilberryspring.capability.backend_calls import (
     AnswerHead,
@@ -26,10 +25,11 @@
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_metrics import Observation
 from bilberryspring.process.server_table import ServerTable
+from bilberryspring.request.answer_progress import AnswerProgress
 from bilberryspring.request.crashes import CrashRecords
 from bilberryspring.request.direct_queue import Dispatcher, Place
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
-from bilberryspring.request.event_splitter import EventSplitter, make_event_splitter
+from bilberryspring.request.event_splitter import make_event_splitter
 from bilberryspring.request.fleet_budget import FleetRetryBudget
 
 __all__ = ["Relay", "make_relay"]
@@ -40,28 +40,6 @@
 _DONE = None
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What the caller of one request has of its answer."""
-
-    answer: CallerAnswer
-    splitter: EventSplitter
-    first_s: float | None = None
-    status: int = 0
-
-    def start(self, head: AnswerHead, length_bytes: int | None, age_s: float) -> None:
-        """Begin the caller's answer, unless it has begun.
-
-        :param head: head of a server's answer.
-        :param length_bytes: length of the body, ``None`` for a stream.
-        :param age_s: time since the request was read.
-        """
-        if not self.answer.is_started:
-            self.first_s = age_s
-            self.status = head.status
-            self.answer.start(head, length_bytes)
-
-
 class Relay:
     """Relays requests.
 
@@ -101,7 +79,7 @@
         """
         begun_s = request.received_s
         must_end_s = min(request.deadline_s, begun_s + request.route.timeout_s)
-        progress = _Progress(answer, make_event_splitter())
+        progress = AnswerProgress(answer, make_event_splitter())
         outcome: Failure | None = make_failure(ErrorKind.DEADLINE_EXCEEDED)
         try:
             async with asyncio.timeout(max(must_end_s - read_elapsed_s(), 0)):
@@ -150,7 +128,7 @@
         self,
         request: IncomingRequest,
         pool: PoolLimits,
-        progress: _Progress,
+        progress: AnswerProgress,
         must_end_s: float,
     ) -> Failure | None:
         last: Failure | None = None
@@ -220,7 +198,7 @@
         self,
         request: IncomingRequest,
         place: Place,
-        progress: _Progress,
+        progress: AnswerProgress,
         must_end_s: float,
     ) -> Failure | None:
         record, loop = place.record, asyncio.get_running_loop()
@@ -311,7 +289,7 @@
         head: AnswerHead,
         request: IncomingRequest,
         place: Place,
-        progress: _Progress,
+        progress: AnswerProgress,
         token: object,
     ) -> Failure | None:
         parts: list[bytes] = []
@@ -338,7 +316,7 @@
         head: AnswerHead,
         request: IncomingRequest,
         place: Place,
-        progress: _Progress,
+        progress: AnswerProgress,
         token: object,
     ) -> Failure | None:
         answer, splitter = progress.answer, progress.splitter
