Keep to servers' idle times, and give bodies their own time

Cause: found by reading. The time that a server keeps idle connections was never read, so one that closes after a second got requests on connections it had closed; the time for a request's head ended large bodies on slow links with 408. Change: Keep-Alive is read from each answer; a body may take as long as a pause.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -171,6 +171,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the framing, and answer a caller that waits to be told to send."""
+        self._set_timer(self._policy.idle_s)
         lengths = set(self._find_all(b"content-length"))
         codings = self._find_all(b"transfer-encoding")
         if len(lengths) > 1 or (lengths and codings) or len(codings) > 1:
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -151,3 +151,13 @@
     data = await read_until_closed(reader)
     assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"hi")
     assert b"Connection: close" in data
+
+
+async def test_a_body_may_take_longer_than_a_head():
+    rig = Rig(Policy(header_s=0.2, idle_s=2.0))
+    reader, writer = await rig.start()
+    writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n")
+    writer.write(b"Connection: close\r\n\r\nh")
+    await asyncio.sleep(0.5)
+    writer.write(b"i")
+    assert (await read_until_closed(reader)).endswith(b"hi")
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -64,6 +64,7 @@
             head = await self._connection.read_head()
             if isinstance(head, BrokenConnection):
                 return _explain(head, "before an answer")
+            self._connection.keep_alive_s = _read_keep_alive_s(head)
             found_id = head.find(wire.ATTEMPT_ID)
             if found_id == self._request_id or found_id is None:
                 return _decode_head(head)
@@ -243,6 +244,20 @@
 }
 
 
+def _read_keep_alive_s(head: ResponseHead) -> float | None:
+    """Return how long a server keeps an idle connection, ``None`` if it does not tell.
+
+    >>> head = ResponseHead(200, ((b"Keep-Alive", b"timeout=5, max=100"),), True)
+    >>> _read_keep_alive_s(head)
+    5.0
+    """
+    for part in (head.find(b"keep-alive") or b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
 def _explain(broken: BrokenConnection, when: str) -> Failure:
     reason = f"connection {broken.kind.value} {when}: {broken.reason}"
     return make_failure(_KINDS[broken.kind], reason)
