Avoid servers for repeated failures only, and take the higher word on their load

A server's own count leaves out requests on their way to it. Change: a share of failures decides, an unreachable server is avoided at once; the higher of the server's and the other routers' word counts.

--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -17,10 +17,14 @@
 # A server that has said nothing for so long while requests wait there is avoided.
 # Engines send an event of each stream several times in this time.
 SILENCE_S = 0.6
+# Weight of the newest answer in a server's share of failures. A server is avoided from
+# the second failure in a row on, not for single answers that it loses.
+FAILURE_WEIGHT = 0.2
+AVOIDED_FAILURE_SHARE = 0.35
 # First pause after a failure, doubled up to the longest for each further one.
 FIRST_AVOID_S = 0.5
 LONGEST_AVOID_S = 4.0
-# A server's own word on its load goes before that of other routers for so long.
+# A server's own word on its load counts for so long.
 TOLD_LOAD_S = 0.5
 # Parts remembered of each server; a hundred bytes each.
 MAX_PARTS = 4096
@@ -49,9 +53,12 @@
     :param requests: requests of this router that it has.
     :param prompt_tokens: tokens that it is yet to read for them.
     :param held_tokens: tokens that they take in its memory, read and generated.
-    :param told_load_s: when the server itself told its load.
+    :param reported_requests: requests of others, as they told.
+    :param told_requests: requests of others, as the server told.
+    :param told_load_s: when the server told.
     :param waiting: when each request that it has was sent or last answered in part.
     :param failures: failures in a row.
+    :param failure_share: failures among the latest answers.
     :param slowness: time that answers take, over the time expected.
     :param parts: parts of prompts that this router sent there, the latest last.
     """
@@ -62,10 +69,13 @@
     prompt_tokens: int = 0
     held_tokens: int = 0
     peers: PeerLoad = field(default_factory=PeerLoad)
+    reported_requests: float = 0.0
+    told_requests: float = 0.0
     told_load_s: float = -1.0
     waiting: dict[object, float] = field(default_factory=dict)
     heard_s: float = 0.0
     failures: int = 0
+    failure_share: float = 0.0
     avoided_until_s: float = 0.0
     slowness: float = 1.0
     slowness_sampled_s: float = 0.0
@@ -82,8 +92,9 @@
         :param told: their loads together.
         :param now_s: monotonic time.
         """
+        self.reported_requests = told.requests
         if now_s - self.told_load_s < TOLD_LOAD_S:
-            told.requests = self.peers.requests
+            told.requests = max(told.requests, self.told_requests)
         self.peers = told
 
     def is_silent(self, now_s: float) -> bool:
@@ -193,14 +204,19 @@
     def note_success(self) -> None:
         """Note an answer in order."""
         self.failures = 0
+        self.failure_share *= 1 - FAILURE_WEIGHT
         self.avoided_until_s = 0.0
 
-    def note_failure(self, reason: str, now_s: float) -> None:
-        """Avoid it for a while.
+    def note_failure(self, reason: str, now_s: float, *, is_down: bool = False) -> None:
+        """Avoid it for a while, unless it was one failure among many answers.
 
         :param reason: what failed.
         :param now_s: monotonic time.
+        :param is_down: it could not be reached.
         """
+        self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
+        if not is_down and self.failure_share < AVOIDED_FAILURE_SHARE:
+            return
         self.failures += 1
         pause_s = min(FIRST_AVOID_S * 2 ** (self.failures - 1), LONGEST_AVOID_S)
         was_avoided = now_s < self.avoided_until_s
@@ -295,15 +311,17 @@
         return self._listed.get(pool, [])
 
     def note_load(self, record: ServerRecord, load: ServerLoad | None) -> None:
-        """Take a server's own word on its load.
+        """Take a server's own word on its load, where it is above that of others.
 
         :param record: the server.
         :param load: what it told with an answer, or ``None``.
         """
         if load is not None:
-            others = load.running + load.waiting - record.requests
-            record.peers.requests = max(float(others), 0.0)
+            others = max(load.running + load.waiting - record.requests, 0)
+            record.told_requests = float(others)
             record.told_load_s = time.monotonic()
+            # The server does not count requests that are still on their way to it.
+            record.peers.requests = max(record.reported_requests, float(others))
 
 
 def _is_other_start(known: BackendServer, found: BackendServer) -> bool:
--- a/bilberryspring/process/tests/test_server_table.py
+++ b/bilberryspring/process/tests/test_server_table.py
@@ -44,6 +44,26 @@
     assert not record.is_avoided(100.0)
 
 
+def test_single_lost_answers_do_not_make_a_server_avoided():
+    _, record = make_record()
+    for number in range(200):
+        if number % 20 == 7:
+            record.note_failure("reset", 100.0)
+            assert not record.is_avoided(100.0)
+        else:
+            record.note_success()
+
+
+def test_a_server_that_fails_twice_in_a_row_or_is_down_is_avoided():
+    _, record = make_record()
+    record.note_failure("reset", 100.0)
+    record.note_failure("reset", 100.0)
+    assert record.is_avoided(100.0)
+    _, record = make_record()
+    record.note_failure("refused", 100.0, is_down=True)
+    assert record.is_avoided(100.0)
+
+
 def test_slowness_is_learnt_and_fades_so_that_the_server_is_tried_again():
     _, record = make_record()
     for _ in range(20):
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -15,7 +15,6 @@
     Exchange,
 )
 from bilberryspring.capability.routing import (
-    BackendServer,
     IncomingRequest,
     PoolLimits,
     RunRule,
@@ -24,7 +23,7 @@
 from bilberryspring.process.clock import read_elapsed_s
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_metrics import Observation
-from bilberryspring.process.server_table import ServerTable
+from bilberryspring.process.server_table import ServerRecord, ServerTable
 from bilberryspring.request.answer_progress import AnswerProgress
 from bilberryspring.request.crashes import CrashRecords
 from bilberryspring.request.direct_queue import Dispatcher, Place
@@ -156,9 +155,7 @@
             if not isinstance(found, Failure):
                 self._crashes.clear(digest)
                 return found
-            examining = asyncio.create_task(
-                self._examine(digest, place.record.server, found)
-            )
+            examining = asyncio.create_task(self._examine(digest, place.record, found))
             self._examinations.add(examining)
             examining.add_done_callback(self._examinations.discard)
             request.tried.add(place.record.server.server_id)
@@ -185,12 +182,15 @@
             await examining
 
     async def _examine(
-        self, digest: str, server: BackendServer, failure: Failure
+        self, digest: str, record: ServerRecord, failure: Failure
     ) -> None:
         """Note a crash of the server, if that is why a request that ran failed."""
         if failure.kind is not ErrorKind.BACKEND_FAILED:
             return
+        server = record.server
         if failure.outcome is Outcome.UNKNOWN and await self._calls.is_down(server):
+            now_s = asyncio.get_running_loop().time()
+            record.note_failure("it is down", now_s, is_down=True)
             crash_id = f"{server.server_id}/{server.started_at_ms}"
             self._crashes.learn(digest, {crash_id})
 
@@ -213,7 +213,8 @@
                 record.server, request, must_end_s - read_elapsed_s()
             )
             if isinstance(exchange, Failure):
-                record.note_failure(exchange.reason, loop.time())
+                is_down = exchange.kind is ErrorKind.BACKEND_UNREACHABLE
+                record.note_failure(exchange.reason, loop.time(), is_down=is_down)
                 return exchange
             request.tries += 1
             record.note_sent(token, request.prompt, loop.time())
