Never pass a server's failure on as the rest of a stream

Change: once an answer has begun only a success goes on; else it is broken off. Measured: the new test fails before (1 failed) and passes after (29 passed).

--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -237,6 +237,9 @@
             refusal = self._judge_head(head, request, place)
             if refusal is not None:
                 return refusal
+            if progress.answer.is_started and not head.is_success:
+                reason = f"{head.status} instead of the rest of a stream"
+                return make_failure(ErrorKind.BACKEND_FAILED, reason)
             if request.route.rule is RunRule.STREAM and head.is_success:
                 failure = await self._pass_stream(
                     exchange, head, request, place, progress, token
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -157,3 +157,11 @@
         await relay(ORDER, [[lose()]], crashes=crashes)
     answer, _ = await relay(ORDER, [WHOLE], crashes=crashes)
     assert answer.is_finished
+
+
+async def test_a_servers_failure_is_not_passed_on_as_the_rest_of_a_stream():
+    first = [make_head(), b"id: 1\n\n", lose()]
+    second = [make_head(500), b"why", None]
+    answer, _ = await relay(RESUMABLE, [first, second])
+    assert answer.body == b"id: 1\n\n"
+    assert answer.is_broken and not answer.is_finished
