Check the announced list lengths of a report before reading its entries

Cause: a damaged 58-byte datagram (offset 35, 0x0b) announces 49,152 loads; packed zeros make such a list cheap to send, and all entries were read, for 0.3 s, in the router's only thread. Ruled out: the decompression itself, which is bounded by the datagram's size. Change: lists longer than the encoder writes are a malformed report.

--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -153,11 +153,17 @@
 def decode_report(data: bytes) -> RouterReport | Failure:
     """Decode a report.
 
+    A packed datagram can announce lists of many thousand entries in a few bytes, so
+    their lengths are checked before an entry is read.
+
     :param data: content of one datagram.
     :returns: the report, or a ``MALFORMED_REQUEST`` failure.
     """
     try:
         message = _schema.RouterReport.from_bytes_packed(data)
+        excess = _find_excess(message)
+        if excess is not None:
+            return make_failure(ErrorKind.MALFORMED_REQUEST, excess)
         return RouterReport(
             sender=InstanceId(message.sender),
             started_at_ms=message.startedAtMs,
@@ -185,6 +191,23 @@
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
 
 
+def _find_excess(message) -> str | None:
+    """Return which list of a report is longer than allowed, ``None`` if none is."""
+    lengths = [
+        ("loads", len(message.loads), MAX_LOADS),
+        ("crashes", len(message.crashes), MAX_CRASH_DIGESTS),
+    ]
+    if lengths[1][1] <= MAX_CRASH_DIGESTS:
+        lengths += [
+            ("crash ids", len(entry.crashIds), MAX_CRASH_IDS_PER_DIGEST)
+            for entry in message.crashes
+        ]
+    for name, length, limit in lengths:
+        if length > limit:
+            return f"malformed report: {length} {name}, at most {limit} are allowed"
+    return None
+
+
 def encode_snapshot(snapshot: StoreSnapshot) -> bytes:
     """Encode and compress a snapshot.
 
--- a/bilberryspring/connection/tests/test_router_reports.py
+++ b/bilberryspring/connection/tests/test_router_reports.py
@@ -1,6 +1,8 @@
 """Encoding of the reports and snapshots that routers exchange."""
 
-from hypothesis import given
+import time
+
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from bilberryspring.connection.router_reports import (
@@ -48,7 +50,18 @@
 
 
 @given(st.integers(0, 200), st.binary(min_size=1, max_size=8))
+@example(offset=35, noise=b"\x0b")
 def test_corrupted_report_decodes_to_a_report_or_a_failure(offset, noise):
     data = bytearray(encode_report(make_report([RouterLoad(1, 2, 3, 4)])))
     data[offset : offset + len(noise)] = noise
     assert isinstance(decode_report(bytes(data)), RouterReport | Failure)
+
+
+def test_announced_list_lengths_are_checked_before_an_entry_is_read():
+    data = bytearray(encode_report(make_report([RouterLoad(1, 2, 3, 4)])))
+    data[35] = 0x0B  # Announces 49,152 loads.
+    begun_s = time.perf_counter()
+    decoded = decode_report(bytes(data))
+    assert time.perf_counter() - begun_s < 0.02
+    assert isinstance(decoded, Failure)
+    assert "loads" in decoded.reason
