Decode a server's load with four figures, and count what cannot be decoded

Cause: servers of the further sites add a fourth figure to Replica-Load (how long work takes there now); the decoder took exactly three and returned None without a line, so every load that these servers told was dropped. Change: the fourth figure becomes ServerLoad.work_time_ratio, further ones are ignored; an unreadable load or keep-alive timeout is a Failure, counted (values_unreadable) and logged with its reason at most once in 10 s a name. Also found in the adapter: a deadline of nan or inf was taken as one, and an infinite Length-Hint raised OverflowError in the handler; both are refused.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -23,11 +23,14 @@
     :param running: number of requests that the server is running.
     :param waiting: number of requests in the server's queue.
     :param slots: number of requests that the server can run concurrently.
+    :param work_time_ratio: time that work takes on the server's machine at this moment,
+        as a multiple of the usual time; one if the server does not report it.
     """
 
     running: int
     waiting: int
     slots: int
+    work_time_ratio: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +42,8 @@
     :param was_not_run: whether the server states that it did not run the request.
     :param is_verified: whether the response carries the server's proof of origin. A
         response without it may come from another server or an intermediary.
-    :param load: reported load of the server; ``None`` if it reported none.
+    :param load: reported load of the server; ``None`` if it reported none, or one that
+        could not be decoded.
     """
 
     status: int
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -16,6 +16,10 @@
     open_connection,
 )
 from bilberryspring.platform import wire_names as wire
+from bilberryspring.platform.unreadable_values import (
+    UnreadableValues,
+    make_unreadable_values,
+)
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 
@@ -35,6 +39,9 @@
 PROBE_TIMEOUT_S = 0.15
 MAX_IDLE_CONNECTIONS = 16
 MISDIRECTED_STATUS = 421
+# Load figures of more digits are not counts of requests.
+MAX_LOAD_DIGITS = 6
+USUAL_WORK_TIME_PERCENT = 100
 
 
 class ServerExchange:
@@ -70,10 +77,30 @@
             head = await self._connection.read_head()
             if isinstance(head, ConnectionFailure):
                 return _make_connection_failure(head, "before a response")
-            self._connection.keep_alive_timeout_s = _read_keep_alive_s(head)
+            self._connection.keep_alive_timeout_s = self._decode_or_record(
+                "keep_alive", head.find_header(b"keep-alive"), _decode_keep_alive_s
+            )
             found_id = head.find_header(wire.ATTEMPT_ID)
             if found_id == self._request_id or found_id is None:
-                return _decode_response_head(head)
+                load = self._decode_or_record(
+                    "server_load", head.find_header(wire.SERVER_LOAD), _decode_load
+                )
+                return _decode_response_head(head, load)
+
+    def _decode_or_record(self, name: str, value: bytes | None, decode):
+        """Decode a header, recording a value that cannot be decoded.
+
+        :returns: the decoded value, or ``None`` if the header is missing or unreadable.
+        """
+        if value is None:
+            return None
+        decoded = decode(value)
+        if isinstance(decoded, Failure):
+            self._server_calls.unreadable_values.record(
+                name, self._server.server_id, value, decoded.reason
+            )
+            return None
+        return decoded
 
     async def read_chunk(self) -> bytes | None | Failure:
         """Wait for a chunk of the body.
@@ -100,9 +127,13 @@
 
 
 class ServerCalls:
-    """A client of backend servers with persistent connections."""
+    """A client of backend servers with persistent connections.
+
+    :param unreadable_values: counter of headers that could not be decoded.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, unreadable_values: UnreadableValues) -> None:
+        self.unreadable_values = unreadable_values
         self._idle_connections: dict[tuple[str, int], deque[BackendConnection]] = {}
         self.opened_connections = 0
 
@@ -232,8 +263,9 @@
     return b"".join([*lines, b"\r\n", request.body])
 
 
-def _decode_response_head(head: ResponseHead) -> BackendResponseHead:
-    load = head.find_header(wire.SERVER_LOAD)
+def _decode_response_head(
+    head: ResponseHead, load: ServerLoad | None
+) -> BackendResponseHead:
     has_coding = head.find_header(b"content-encoding") is not None
     return BackendResponseHead(
         status=head.status,
@@ -246,35 +278,57 @@
         or head.status == MISDIRECTED_STATUS,
         # The seal covers the body before any content coding.
         is_verified=head.find_header(wire.RESPONSE_SEAL) is not None and not has_coding,
-        load=None if load is None else _decode_load(load),
+        load=load,
     )
 
 
 _NOT_FORWARDED_HEADERS = wire.HOP_BY_HOP_HEADERS | {wire.SERVER_LOAD}
 
 
-def _decode_load(value: bytes) -> ServerLoad | None:
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ServerLoad(running, waiting, slots)
+def _decode_load(value: bytes) -> ServerLoad | Failure:
+    """Decode a server's load: running, waiting, slots and, if sent, its work time.
 
+    Further figures are ignored, since servers may add some.
 
-def _read_keep_alive_s(head: ResponseHead) -> float | None:
-    """Return a server's keep-alive timeout in seconds, ``None`` if it announces none.
+    >>> _decode_load(b"3, 0, 8, 150")
+    ServerLoad(running=3, waiting=0, slots=8, work_time_ratio=1.5)
+    """
+    parts = [part.strip() for part in value.split(b",")]
+    if len(parts) < 3:
+        return _make_decode_failure(f"{len(parts)} figures, at least 3 are needed")
+    for part in parts:
+        if not part.isdigit() or len(part) > MAX_LOAD_DIGITS:
+            return _make_decode_failure(
+                f"{part[:MAX_LOAD_DIGITS]!r} is not a number of at most"
+                f" {MAX_LOAD_DIGITS} digits"
+            )
+    running, waiting, slots = (int(part) for part in parts[:3])
+    percent = int(parts[3]) if len(parts) > 3 else USUAL_WORK_TIME_PERCENT
+    if percent == 0:
+        return _make_decode_failure("a work time of zero")
+    return ServerLoad(running, waiting, slots, percent / USUAL_WORK_TIME_PERCENT)
+
+
+def _decode_keep_alive_s(value: bytes) -> float | None | Failure:
+    """Decode a server's keep-alive timeout in seconds, ``None`` if it states none.
 
-    >>> head = ResponseHead(200, ((b"Keep-Alive", b"timeout=5, max=100"),), True)
-    >>> _read_keep_alive_s(head)
+    >>> _decode_keep_alive_s(b"timeout=5, max=100")
     5.0
     """
-    for part in (head.find_header(b"keep-alive") or b"").split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
-            return float(value)
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() != b"timeout":
+            continue
+        if not number.strip().isdigit():
+            return _make_decode_failure("the timeout is not a number of seconds")
+        return float(number)
     return None
 
 
+def _make_decode_failure(reason: str) -> Failure:
+    return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
+
 def _make_connection_failure(broken: ConnectionFailure, when: str) -> Failure:
     reason = f"connection {broken.kind.value} {when}: {broken.reason}"
     return make_failure(ErrorKind.BACKEND_FAILED, reason)
@@ -282,4 +336,4 @@
 
 def make_server_calls() -> ServerCalls:
     """Return a client without connections."""
-    return ServerCalls()
+    return ServerCalls(make_unreadable_values())
--- a/bilberryspring/platform/caller_requests.py
+++ b/bilberryspring/platform/caller_requests.py
@@ -1,6 +1,7 @@
 """Decode the HTTP requests of callers and write the responses to them."""
 
 import json
+import math
 from urllib.parse import unquote
 
 from bilberryspring.capability.backend_calls import BackendResponseHead
@@ -168,8 +169,10 @@
         return make_failure(ErrorKind.MALFORMED_REQUEST, "the request has no id header")
     try:
         deadline_ms = float(header_values.get(wire.DEADLINE_MS, DEFAULT_DEADLINE_MS))
+        if not math.isfinite(deadline_ms):
+            raise ValueError(f"the deadline {deadline_ms} is not finite")
         prompt = _decode_prompt(header_values)
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed header: {error}")
     return IncomingRequest(
         request_id=RequestId(request_id),
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -159,6 +159,10 @@
                 "New connections to servers",
                 lambda: self._server_calls.opened_connections,
             ),
+            "values_unreadable": (
+                "Headers of servers that could not be decoded",
+                lambda: self._server_calls.unreadable_values.counts.total(),
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.capability.routing import ExecutionRule
-from bilberryspring.platform import backend_calls
+from bilberryspring.platform import backend_calls, unreadable_values
 from bilberryspring.platform.backend_calls import make_server_calls
 from bilberryspring.request.errors import ErrorKind, Failure
 from bilberryspring.request.tests.relay_fixtures import (
@@ -52,7 +53,7 @@
             response = self.scripts.pop(0)
             if response is None:
                 break
-            writer.write(response.encode())
+            writer.write(response.encode("latin-1"))
         writer.close()
 
 
@@ -147,3 +148,59 @@
     assert await calls.is_down(server)
     found = await send_request(calls, server, "a")
     assert found.kind is ErrorKind.BACKEND_UNREACHABLE
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        ("3,0,8", ServerLoad(3, 0, 8)),
+        ("3, 1 ,8", ServerLoad(3, 1, 8)),
+        ("3,0,8,100", ServerLoad(3, 0, 8, 1.0)),
+        ("3,0,8,250", ServerLoad(3, 0, 8, 2.5)),
+        ("3,0,8,150,7", ServerLoad(3, 0, 8, 1.5)),
+    ],
+)
+async def test_load_of_a_server_is_decoded(value, load):
+    response = make_response("a", f"Replica-Load: {value}\r\n")
+    server, calls = await ScriptedServer(response).start(), make_server_calls()
+    head = await send_request(calls, server, "a")
+    assert head.load == load
+    assert not calls.unreadable_values.counts
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["", "3", "3,0", "a,b,c", "-3,0,8", "3,0,8,x", "3,0,8,0", "3,0,8,-1", "3,,8"]
+    + ["1.5,0,8", "9999999,0,8", "3,0,8," + "9" * 5000, "\u00b2,0,8"],
+)
+async def test_unreadable_load_is_counted(value):
+    response = make_response("a", f"Replica-Load: {value}\r\n")
+    server = await ScriptedServer(response, response).start()
+    calls = make_server_calls()
+    for _ in range(2):
+        head = await send_request(calls, server, "a")
+        assert head.is_success
+        assert head.load is None
+    assert calls.unreadable_values.counts == {"server_load": 2}
+
+
+def test_unreadable_values_are_logged_at_a_bounded_rate(monkeypatch):
+    lines, now_s = [], [0.0]
+    monkeypatch.setattr(
+        unreadable_values, "log_event", lambda event, **fields: lines.append(fields)
+    )
+    values = unreadable_values.make_unreadable_values(lambda: now_s[0])
+    for _ in range(1000):
+        values.record("server_load", "s1", b"x" * 5000, "not a number")
+    now_s[0] = 10.0
+    values.record("server_load", "s1", b"x", "not a number")
+    assert [line["since_last_line"] for line in lines] == [1, 1000]
+    assert all(len(line["value"]) <= 80 for line in lines)
+    assert lines[0]["reason"] == "not a number"
+
+
+async def test_unreadable_keep_alive_timeout_is_counted():
+    response = make_response("a", "Keep-Alive: timeout=soon\r\n")
+    server, calls = await ScriptedServer(response).start(), make_server_calls()
+    assert (await send_request(calls, server, "a")).is_success
+    assert calls.unreadable_values.counts == {"keep_alive": 1}
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -56,6 +56,7 @@
     "link_silent": Event(_STATE, "a connection was closed after a ping timeout"),
     "idle_link_silent": Event(_STATE, "an idle connection failed its check"),
     "bad_frame": Event(_STATE, "a frame or datagram could not be decoded"),
+    "value_unreadable": Event(_STATE, "a received value could not be decoded"),
     "unexpected_frame": Event(_STATE, "a frame of an unexpected type was ignored"),
     "handshake_failed": Event(_STATE, "the handshake with a peer failed"),
     "peer_rejected": Event(_STATE, "an incoming connection failed authentication"),
