Pass servers' own statements of their load on among routers

Ruled out: fewer, larger reports and sums of estimates, whose error still grows with the number of routers; the mean of the pool, which is right. Change: reports carry the 12 newest statements with their age (within the same 9 KB/s: the fan-out shrinks); other routers' requests at a server are the mean of reports and statement, weighted by how far each can be off; own requests are counted as of the statement's time. The clock of server table and exchange is a parameter, so that whole fleets replay on a virtual clock.

--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -13,6 +13,13 @@
   serversAgeMs @7 :Int64;
   crashes @8 :List(ContentCrashes);
   hasFastLink @9 :Bool;
+  statements @10 :List(ServerStatement);
+}
+
+struct ServerStatement {
+  server @0 :UInt64;
+  requests @1 :UInt16;
+  ageMs @2 :UInt16;
 }
 
 struct ContentCrashes {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -17,6 +17,7 @@
 __all__ = [
     "RouterLoad",
     "RouterReport",
+    "ServerStatement",
     "StoreSnapshot",
     "SnapshotEntry",
     "decode_report",
@@ -28,6 +29,7 @@
 # Fits into one datagram that the network does not fragment.
 MAX_REPORT_BYTES = 1400
 MAX_LOADS = 32
+MAX_STATEMENTS = 12
 MAX_CRASH_DIGESTS = 3
 MAX_CRASH_IDS_PER_DIGEST = 2
 MAX_SNAPSHOT_BYTES = 8_000_000
@@ -57,6 +59,20 @@
     is_suspected: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ServerStatement:
+    """Load that a backend server stated with a response, passed on among routers.
+
+    :param server: hash of the server's id.
+    :param requests: requests of all routers that it was running or had queued.
+    :param age_s: seconds since the statement, when the report was sent.
+    """
+
+    server: NameHash
+    requests: int
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RouterReport:
     """State of one router.
@@ -75,6 +91,7 @@
         the ids of the crashes.
     :param has_fast_link: whether the sender's network link is fast enough for more than
         reports, such as requests for snapshots.
+    :param statements: latest statements of backend servers on their own load.
     """
 
     sender: InstanceId
@@ -87,6 +104,7 @@
     servers_age_s: float = -1.0
     crashes: tuple[tuple[str, frozenset[str]], ...] = ()
     has_fast_link: bool = True
+    statements: tuple[ServerStatement, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,8 +137,8 @@
 def encode_report(report: RouterReport) -> bytes:
     """Encode a report so that it fits into one datagram.
 
-    :param report: report to encode; loads, crashes and crash ids beyond the limits of
-        this module are left out.
+    :param report: report to encode; entries of its lists beyond the limits of this
+        module are left out.
     :returns: packed Cap'n Proto bytes.
     """
     message = _schema.RouterReport.new_message(
@@ -146,6 +164,14 @@
             }
             for load in report.loads[:MAX_LOADS]
         ],
+        statements=[
+            {
+                "server": statement.server,
+                "requests": min(statement.requests, 0xFFFF),
+                "ageMs": min(round(statement.age_s * 1000), 0xFFFF),
+            }
+            for statement in report.statements[:MAX_STATEMENTS]
+        ],
     )
     return message.to_bytes_packed()
 
@@ -186,6 +212,14 @@
             has_fast_link=message.hasFastLink,
             servers_digest=message.serversDigest,
             servers_age_s=message.serversAgeMs / 1000,
+            statements=tuple(
+                ServerStatement(
+                    NameHash(statement.server),
+                    statement.requests,
+                    statement.ageMs / 1000,
+                )
+                for statement in message.statements
+            ),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -195,9 +229,10 @@
     """Return which list of a report is longer than allowed, ``None`` if none is."""
     lengths = [
         ("loads", len(message.loads), MAX_LOADS),
+        ("statements", len(message.statements), MAX_STATEMENTS),
         ("crashes", len(message.crashes), MAX_CRASH_DIGESTS),
     ]
-    if lengths[1][1] <= MAX_CRASH_DIGESTS:
+    if len(message.crashes) <= MAX_CRASH_DIGESTS:
         lengths += [
             ("crash ids", len(entry.crashIds), MAX_CRASH_IDS_PER_DIGEST)
             for entry in message.crashes
--- /dev/null
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -0,0 +1,364 @@
+"""Replay of a fleet whose routers exchange reports as in production.
+
+Routers place requests with the production dispatcher and exchange production reports,
+over a network that delays and loses datagrams, on a virtual clock. A server is a simple
+model: it runs a bounded number of requests, queues a few more, refuses the others, and
+states its load with each response.
+"""
+
+import asyncio
+import math
+import random
+from collections import Counter, deque
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from bilberryspring.capability.backend_calls import ServerLoad
+from bilberryspring.capability.routing import ExecutionRule, PoolLimits
+from bilberryspring.load.virtual_clock import run_on_virtual_clock
+from bilberryspring.process.router_peers import make_router_peers
+from bilberryspring.process.server_table import make_server_table
+from bilberryspring.request.crash_records import make_crash_records
+from bilberryspring.request.dispatcher import make_dispatcher
+from bilberryspring.request.reservations import Reservation
+from bilberryspring.request.tests.relay_fixtures import (
+    ENGINE,
+    make_prompt,
+    make_request,
+    make_route,
+    make_server,
+)
+
+NETWORK_DELAY_S = 0.001
+DATAGRAM_LOSS = 0.01
+# Routers hear enough of each other after this time; nothing is measured before.
+WARM_UP_S = 2.0
+# Bound on a server's requests, as the operators state it: this multiple of the mean of
+# its pool, and a few more.
+LOAD_BOUND_FACTOR = 2.0
+LOAD_BOUND_MARGIN = 3.0
+LOAD_BOUND_WINDOW_S = 5.0
+PORT = 7340
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """Sizes of a fleet and of its load.
+
+    :param routers: number of routers.
+    :param servers: number of servers.
+    :param slots: number of requests that a server runs concurrently.
+    :param queued: number of requests that a server queues before it refuses.
+    :param service_s: mean service time in seconds.
+    :param utilization: offered load as a share of the capacity of all servers.
+    :param is_engine: whether the servers are engines with caches of prompts.
+    :param chats: number of chats that share the prompts; for engines only.
+    :param target_s: latency target in seconds.
+    :param deadline_s: time limit of the callers in seconds.
+    :param flood_share: fraction of the requests that one workspace sends.
+    :param burst: begin and end in seconds, and factor of the arrival rate between them.
+    :param joining: time in seconds at which servers join, and their number.
+    :param added_service_s: time in seconds by which the other requests at a server
+        slow each request there.
+    """
+
+    routers: int = 68
+    servers: int = 5
+    slots: int = 6
+    queued: int = 6
+    service_s: float = 0.0225
+    utilization: float = 0.15
+    is_engine: bool = False
+    chats: int = 400
+    target_s: float = 0.154
+    deadline_s: float = 0.638
+    flood_share: float = 0.0
+    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
+    joining: tuple[float, int] = (math.inf, 0)
+
+
+@dataclass
+class Outcomes:
+    """Results of the requests of a replay.
+
+    :param response_s: time in seconds from arrival to response, of answered requests.
+    :param refused_after_s: time in seconds from arrival to refusal.
+    :param server_refusals: number of requests that a server refused.
+    """
+
+    response_s: list = field(default_factory=list)
+    refused_after_s: list = field(default_factory=list)
+    server_refusals: int = 0
+
+    @property
+    def total(self):
+        return len(self.response_s) + len(self.refused_after_s)
+
+    def count_in_time(self, target_s):
+        return sum(each_s <= target_s for each_s in self.response_s)
+
+
+@dataclass
+class FleetResult:
+    """Measurements of a replay.
+
+    :param by_workspace: outcomes by workspace; the flood is that of ``"flood"``.
+    :param load_errors: difference of the estimated and the true number of requests at
+        the chosen server, for each request.
+    :param true_loads: true number at the same times.
+    :param arrivals: time in seconds of each arrival at a server, and whether the server
+        was beyond the load bound.
+    :param report_bytes_per_s: bytes of reports that a router sent a second.
+    """
+
+    by_workspace: dict = field(default_factory=dict)
+    load_errors: list = field(default_factory=list)
+    true_loads: list = field(default_factory=list)
+    arrivals: list = field(default_factory=list)
+    report_bytes_per_s: float = 0.0
+
+    @property
+    def all(self):
+        merged = Outcomes()
+        for outcomes in self.by_workspace.values():
+            merged.response_s += outcomes.response_s
+            merged.refused_after_s += outcomes.refused_after_s
+            merged.server_refusals += outcomes.server_refusals
+        return merged
+
+    def compute_rms_load_error(self):
+        return math.sqrt(sum(e * e for e in self.load_errors) / len(self.load_errors))
+
+    def compute_share_beyond_bound(self):
+        """Return the highest share of arrivals beyond the bound in any window."""
+        window, beyond, worst = deque(), 0, 0.0
+        for at_s, is_beyond in self.arrivals:
+            window.append((at_s, is_beyond))
+            beyond += is_beyond
+            while window[0][0] < at_s - LOAD_BOUND_WINDOW_S:
+                beyond -= window.popleft()[1]
+            if beyond >= 20:
+                worst = max(worst, beyond / len(window))
+        return worst
+
+
+class _Server:
+    def __init__(self, fleet, rng):
+        self.fleet = fleet
+        self.rng = rng
+        self.slots = asyncio.Semaphore(fleet.slots)
+        self.present = 0
+
+    def state_load(self):
+        running = min(self.present, self.fleet.slots)
+        return ServerLoad(running, self.present - running, self.fleet.slots)
+
+    async def serve(self, begin_share, state):
+        """Serve a request; return whether it ran.
+
+        :param begin_share: when the response begins, as a share of the service time.
+        :param state: called with the load that the server states with the response.
+        """
+        if self.present >= self.fleet.slots + self.fleet.queued:
+            state(self.state_load())
+            return False
+        self.present += 1
+        async with self.slots:
+            taken_s = self.fleet.service_s * self.rng.uniform(0.5, 1.5)
+            await asyncio.sleep(taken_s * begin_share)
+            state(self.state_load())
+            await asyncio.sleep(taken_s * (1 - begin_share))
+        self.present -= 1
+        return True
+
+
+class _Network:
+    """Network that carries datagrams between the routers and counts their bytes."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.peers = {}
+        self.sent_bytes = Counter()
+
+    def make_transport(self, ip):
+        return _Transport(self, ip)
+
+
+class _Transport:
+    def __init__(self, network, ip):
+        self.network = network
+        self.ip = ip
+
+    def is_closing(self):
+        return False
+
+    def sendto(self, data, address):
+        network = self.network
+        network.sent_bytes[self.ip] += len(data) + 28
+        if network.rng.random() < DATAGRAM_LOSS:
+            return
+        asyncio.get_running_loop().call_later(
+            NETWORK_DELAY_S,
+            network.peers[address[0]].datagram_received,
+            data,
+            (self.ip, PORT),
+        )
+
+
+class _Feed:
+    age_s = 0.0
+
+    def confirm(self, age_s):
+        """Ignore the confirmation."""
+
+
+class _Router:
+    def __init__(self, number, network, estimator):
+        loop = asyncio.get_running_loop()
+        self.ip = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}"
+        self.table = make_server_table(estimator, loop.time)
+        self.dispatcher = make_dispatcher(
+            self.table, "z", LOAD_BOUND_FACTOR, read_clock=loop.time
+        )
+        self.peers = make_router_peers(
+            f"r{number}",
+            self.ip,
+            PORT,
+            self.table,
+            lambda: 1,
+            lambda _: None,
+            _Feed(),
+            lambda _: None,
+            make_crash_records(),
+            read_clock=loop.time,
+        )
+        network.peers[self.ip] = self.peers
+        self.peers._transport = network.make_transport(self.ip)
+
+    async def run(self):
+        reporting = asyncio.create_task(self.peers.run())
+        try:
+            while True:
+                self.dispatcher.router_count = self.peers.count_routers()
+                self.dispatcher.dispatch_all_waiting()
+                await asyncio.sleep(0.5)
+        finally:
+            reporting.cancel()
+
+
+async def _run(fleet, seed, duration_s, estimator):
+    rng = random.Random(seed)
+    loop = asyncio.get_running_loop()
+    network = _Network(rng)
+    routers = [_Router(number, network, estimator) for number in range(fleet.routers)]
+    servers = {}
+    pool_name = "writers" if fleet.is_engine else "desk"
+    limits = type(ENGINE)(fleet.slots, 333_000, 11, True) if fleet.is_engine else None
+    pool = PoolLimits(pool_name, 500, limits)
+    rule = ExecutionRule.STREAM if fleet.is_engine else ExecutionRule.ONCE
+    route = make_route(rule, target_s=fleet.target_s, timeout_s=fleet.deadline_s)
+    result = FleetResult()
+
+    def add_servers(count):
+        for number in range(len(servers), len(servers) + count):
+            servers[f"s{number}"] = _Server(fleet, rng)
+            for router in routers:
+                listed = make_server(f"s{number}", pool_name, slots=fleet.slots)
+                router.table.put(listed)
+
+    async def run(number, workspace):
+        outcomes = result.by_workspace.setdefault(workspace, Outcomes())
+        router = routers[rng.randrange(len(routers))]
+        prompt = None
+        if fleet.is_engine:
+            chat = int(fleet.chats * rng.random() ** 1.3)
+            prompt = make_prompt((f"chat{chat}", 3000), (f"own{number}", 400))
+        request = make_request(route, request_id=f"q{number}", prompt=prompt)
+        request.workspace = workspace
+        arrival_s = loop.time()
+        is_counted = arrival_s >= WARM_UP_S
+        while True:
+            place = await router.dispatcher.acquire(
+                request, pool, arrival_s + fleet.deadline_s
+            )
+            if not isinstance(place, Reservation):
+                if is_counted:
+                    outcomes.refused_after_s.append(loop.time() - arrival_s)
+                return
+            server_id = place.record.server.server_id
+            server = servers[server_id]
+            if is_counted:
+                estimated = place.record.total_requests - 1
+                result.load_errors.append(estimated - server.present)
+                result.true_loads.append(server.present)
+                mean = sum(each.present for each in servers.values()) / len(servers)
+                bound = LOAD_BOUND_FACTOR * mean + LOAD_BOUND_MARGIN
+                result.arrivals.append((loop.time(), server.present > bound))
+            sent_s = loop.time()
+            await asyncio.sleep(NETWORK_DELAY_S)
+            has_run = await server.serve(
+                0.2 if fleet.is_engine else 1.0,
+                lambda load, record=place.record: loop.call_later(
+                    NETWORK_DELAY_S, router.table.update_server_load, record, load
+                ),
+            )
+            await asyncio.sleep(NETWORK_DELAY_S)
+            router.dispatcher.release(place, loop.time() - sent_s if has_run else None)
+            if has_run:
+                if is_counted:
+                    outcomes.response_s.append(loop.time() - arrival_s)
+                return
+            outcomes.server_refusals += is_counted
+            request.tried_server_ids.add(server_id)
+            if len(request.tried_server_ids) > 2:
+                if is_counted:
+                    outcomes.refused_after_s.append(loop.time() - arrival_s)
+                return
+
+    add_servers(fleet.servers)
+    for router in routers:
+        router.peers.add_addresses([other.ip for other in routers])
+    running = [asyncio.create_task(router.run()) for router in routers]
+    capacity_per_s = fleet.servers * fleet.slots / fleet.service_s
+    tasks, begin_s, end_s, factor = [], *fleet.burst
+    end_time_s = WARM_UP_S + duration_s
+    while loop.time() < end_time_s:
+        if loop.time() >= fleet.joining[0] and len(servers) == fleet.servers:
+            add_servers(fleet.joining[1])
+        is_burst = begin_s <= loop.time() - WARM_UP_S < end_s
+        rate = capacity_per_s * fleet.utilization * (factor if is_burst else 1.0)
+        await asyncio.sleep(rng.expovariate(rate))
+        is_flood = rng.random() < fleet.flood_share
+        workspace = "flood" if is_flood else f"w{len(tasks) % 20}"
+        tasks.append(asyncio.create_task(run(len(tasks), workspace)))
+    sent_bytes = sum(network.sent_bytes.values())
+    result.report_bytes_per_s = sent_bytes / fleet.routers / loop.time()
+    await asyncio.gather(*tasks)
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*running, return_exceptions=True)
+    return result
+
+
+@contextmanager
+def _seeded(seed):
+    """Seed the global generator, which the exchange of reports draws from."""
+    state = random.getstate()
+    random.seed(seed)
+    try:
+        yield
+    finally:
+        random.setstate(state)
+
+
+def replay_fleet(fleet, seed, duration_s=6.0, estimator="weighted"):
+    """Replay one random trace.
+
+    :param fleet: sizes of the fleet and of its load.
+    :param seed: seed of all random draws.
+    :param duration_s: time in seconds that is measured.
+    :param estimator: registered name of the estimator of other routers' requests.
+    :returns: the measurements.
+    """
+    with _seeded(seed):
+        return run_on_virtual_clock(_run(fleet, seed, duration_s, estimator))
--- a/bilberryspring/policy/tests/test_direct_admission.py
+++ b/bilberryspring/policy/tests/test_direct_admission.py
@@ -74,6 +74,7 @@
                             sum(each.prompt_tokens for each in others),
                             sum(each.held_tokens for each in others),
                         ),
+                        1.0,
                         asyncio.get_running_loop().time(),
                     )
 
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -13,12 +13,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from bilberryspring.connection.load_messages import hash_name
+from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import (
     MAX_CRASH_DIGESTS,
     MAX_LOADS,
+    MAX_STATEMENTS,
     RouterLoad,
     RouterReport,
+    ServerStatement,
     StoreSnapshot,
     decode_report,
     encode_report,
@@ -26,7 +28,11 @@
 from bilberryspring.identifiers import InstanceId
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_snapshots import fetch_snapshot, serve_snapshots
-from bilberryspring.process.server_table import PeerLoad, ServerTable
+from bilberryspring.process.server_table import (
+    STATEMENT_LIFETIME_S,
+    PeerLoad,
+    ServerTable,
+)
 from bilberryspring.request.crash_records import CrashRecords
 from bilberryspring.request.errors import Failure
 
@@ -108,6 +114,7 @@
     :param crashes: records of request contents that crashed servers.
     :param has_fast_link: whether other routers should prefer this one for snapshots and
         as a watcher.
+    :param read_clock: monotonic clock, in seconds.
     """
 
     def __init__(
@@ -122,7 +129,9 @@
         apply_snapshot: Callable[[StoreSnapshot], None],
         crashes: CrashRecords,
         has_fast_link: bool = True,
+        read_clock: Callable[[], float] = time.monotonic,
     ):
+        self._read_clock = read_clock
         self._instance_id = instance_id
         self._ip = ip
         self._port = port
@@ -172,14 +181,14 @@
         :param ips: IP addresses; one that is not added again expires after
             ``PEER_TIMEOUT_S`` unless a router there sends reports.
         """
-        now_s = time.monotonic()
+        now_s = self._read_clock()
         for ip in ips:
             if ip != self._ip:
                 self._address_added_s[ip] = now_s
 
     def count_routers(self) -> int:
         """Return the estimated number of routers, including this one."""
-        now_s = time.monotonic()
+        now_s = self._read_clock()
         recent = self._list_recent_views(now_s, PEER_TIMEOUT_S)
         reported = [view.report.router_count for view in recent]
         return max([len(recent) + 1, *(min(each, 4096) for each in reported)])
@@ -197,9 +206,11 @@
         if isinstance(report, Failure):
             log_event("bad_frame", level="WARNING", peer=address[0], why=report.reason)
             return
-        if report.sender == self._instance_id:
-            return
-        view = self._peer_views.setdefault(address[0], PeerView(address[0]))
+        if report.sender != self._instance_id:
+            self._apply_report(report, address[0])
+
+    def _apply_report(self, report: RouterReport, ip: str) -> None:
+        view = self._peer_views.setdefault(ip, PeerView(ip))
         previous = view.report
         if previous is not None and (report.started_at_ms, report.sequence) <= (
             previous.started_at_ms,
@@ -207,7 +218,11 @@
         ):
             return
         view.report = report
-        view.report_received_s = time.monotonic()
+        view.report_received_s = self._read_clock()
+        for statement in report.statements:
+            record = self._servers.find_by_hash(statement.server)
+            if record is not None:
+                self._servers.add_statement(record, statement.requests, statement.age_s)
         for digest, crash_ids in report.crashes:
             self._crashes.add_crashes(digest, crash_ids)
 
@@ -215,7 +230,7 @@
         """Send reports and apply received ones periodically, until cancelled."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S * random.uniform(0.9, 1.1))
-            now_s = time.monotonic()
+            now_s = self._read_clock()
             self._remove_expired(now_s)
             self._send_report(now_s)
             self._update_peer_loads(now_s)
@@ -258,12 +273,31 @@
                 self._feed.age_s,
                 tuple(self._crashes.list_recent(MAX_CRASH_DIGESTS)),
                 self._has_fast_link,
+                self._list_statements(now_s),
             )
         )
         self._fanout = min(_choose_fanout(len(data)), len(targets))
         for ip in random.sample(targets, self._fanout):
             self._transport.sendto(data, (ip, self._port))
 
+    def _list_statements(self, now_s: float) -> tuple[ServerStatement, ...]:
+        """Return the latest statements of servers on their load, the newest first."""
+        records = [
+            record
+            for record in self._servers.records.values()
+            if record.statement is not None
+            and now_s - record.statement.stated_s < STATEMENT_LIFETIME_S
+        ]
+        records.sort(key=lambda record: -record.statement.stated_s)
+        return tuple(
+            ServerStatement(
+                hash_name(record.server.server_id),
+                record.statement.requests,
+                max(now_s - record.statement.stated_s, 0.0),
+            )
+            for record in records[:MAX_STATEMENTS]
+        )
+
     def _list_recent_views(self, now_s: float, lifetime_s: float) -> list[PeerView]:
         return [
             view
@@ -277,7 +311,7 @@
             return
         # The reported loads are extrapolated to all routers.
         scale = max(1.0, (self.count_routers() - 1) / len(recent))
-        sums: dict[int, list[float]] = {}
+        sums: dict[NameHash, list[float]] = {}
         for view in recent:
             for load in view.report.loads:
                 total = sums.setdefault(load.server, [0.0, 0.0, 0.0])
@@ -289,19 +323,18 @@
                     and now_s - view.report_received_s <= 2 * REPORT_INTERVAL_S
                 ):
                     self._apply_suspicion(load.server, view, now_s)
-        for server_id, record in self._servers.records.items():
-            total = sums.get(hash_name(server_id), (0.0, 0.0, 0.0))
-            reported = PeerLoad(*(value * scale for value in total))
-            record.update_peer_load(reported, now_s)
-
-    def _apply_suspicion(self, server: int, view: PeerView, now_s: float) -> None:
-        for server_id, record in self._servers.records.items():
-            if hash_name(server_id) == server:
-                if now_s - record.last_response_s > RECENT_RESPONSE_S:
-                    record.avoid_on_report(
-                        now_s + REPORTED_AVOIDANCE_S, view.report.sender
-                    )
-                return
+        self._servers.update_peer_loads(
+            {
+                server: PeerLoad(*(value * scale for value in total))
+                for server, total in sums.items()
+            },
+            1 / scale,
+        )
+
+    def _apply_suspicion(self, server: NameHash, view: PeerView, now_s: float) -> None:
+        record = self._servers.find_by_hash(server)
+        if record is not None and now_s - record.last_response_s > RECENT_RESPONSE_S:
+            record.avoid_on_report(now_s + REPORTED_AVOIDANCE_S, view.report.sender)
 
     def is_watcher(self) -> bool:
         """Return whether this router watches the server list in the store.
@@ -310,7 +343,7 @@
         has received no reports ranks itself first, so there may be more watchers than
         needed for a while, but not fewer for long.
         """
-        now_s = time.monotonic()
+        now_s = self._read_clock()
         own = _make_watcher_key(self._has_fast_link, self._instance_id)
         recent = [
             view.report
@@ -415,6 +448,7 @@
     apply_snapshot: Callable[[StoreSnapshot], None],
     crashes: CrashRecords,
     has_fast_link: bool = True,
+    read_clock: Callable[[], float] = time.monotonic,
 ) -> RouterPeers:
     """Return an exchange that is not started.
 
@@ -430,6 +464,7 @@
     :param crashes: records of request contents that crashed servers.
     :param has_fast_link: whether other routers should prefer this one for snapshots and
         as a watcher.
+    :param read_clock: monotonic clock, in seconds.
     """
     return RouterPeers(
         instance_id,
@@ -442,4 +477,5 @@
         apply_snapshot,
         crashes,
         has_fast_link,
+        read_clock,
     )
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -1,17 +1,31 @@
 """Per-server state that a router uses to choose a backend server for a request."""
 
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import xxhash
 
 from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.capability.routing import BackendServer, PartId, Prompt
+from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.identifiers import InstanceId, PoolName
+from bilberryspring.policy.load_estimate import (
+    DEFAULT_LOAD_ESTIMATOR,
+    LOAD_ESTIMATORS,
+    LoadEstimator,
+    LoadEvidence,
+)
 from bilberryspring.process.logs import log_event
 
-__all__ = ["PeerLoad", "ServerRecord", "ServerTable", "make_server_table"]
+__all__ = [
+    "LoadStatement",
+    "PeerLoad",
+    "ServerRecord",
+    "ServerTable",
+    "make_server_table",
+]
 
 # A server that sends nothing for this long while requests are in flight is avoided.
 # Engines send several events of each stream within this time.
@@ -24,8 +38,11 @@
 # Backoff after a failure; it doubles with each further failure, up to the maximum.
 INITIAL_AVOIDANCE_S = 0.5
 MAX_AVOIDANCE_S = 4.0
-# For how long the load that a server reports itself is used.
-SERVER_LOAD_LIFETIME_S = 0.5
+# For how long a statement of a server on its own load is used and passed on.
+STATEMENT_LIFETIME_S = 1.0
+# Changes of the number of own requests that are kept per server, to tell how many there
+# were when a statement was made.
+MAX_REQUEST_CHANGES = 32
 # Prompt parts kept per server, at about a hundred bytes each.
 MAX_PROMPT_PARTS = 4096
 # Weight of the newest sample in the moving average of a server's slowness.
@@ -51,6 +68,18 @@
     held_tokens: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class LoadStatement:
+    """Load that a server stated with a response, to this or another router.
+
+    :param requests: requests of all routers that it was running or had queued.
+    :param stated_s: monotonic time of the statement.
+    """
+
+    requests: int
+    stated_s: float
+
+
 @dataclass(slots=True)
 class ServerRecord:
     """This router's view of the state of one backend server; times are monotonic.
@@ -60,12 +89,14 @@
     :param requests: requests of this router that are in flight there.
     :param prompt_tokens: prompt tokens of these requests that it has not read yet.
     :param held_tokens: tokens of these requests in its KV cache, read and generated.
-    :param peer_load: load of the other routers, from their and the server's reports.
+    :param peer_load: load of the other routers, estimated from their reports and the
+        server's statements.
     :param peer_reported_requests: requests in flight of the other routers, by their
         reports.
+    :param heard_share: fraction of the other routers that these reports come from.
     :param own_requests_at_report: requests of this router at the time of these reports.
-    :param server_reported_requests: requests of other routers, by the server's report.
-    :param server_reported_s: when the server reported; negative for never.
+    :param statement: latest statement of the server; ``None`` if there is none.
+    :param request_changes: latest changes of ``requests``: time and new value.
     :param awaited_since_s: for each request in flight, when it was sent or when the
         latest part of its response arrived.
     :param last_response_s: when the server last sent anything.
@@ -85,8 +116,11 @@
     peer_load: PeerLoad = field(default_factory=PeerLoad)
     peer_reported_requests: float = 0.0
     own_requests_at_report: int = 0
-    server_reported_requests: float = 0.0
-    server_reported_s: float = -1.0
+    heard_share: float = 1.0
+    statement: LoadStatement | None = None
+    request_changes: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=MAX_REQUEST_CHANGES)
+    )
     awaited_since_s: dict[object, float] = field(default_factory=dict)
     last_response_s: float = 0.0
     consecutive_failures: int = 0
@@ -101,19 +135,75 @@
         """Requests of all routers in flight there, by the latest reports received."""
         return self.requests + self.peer_load.requests
 
-    def update_peer_load(self, reported: PeerLoad, now_s: float) -> None:
-        """Update the load of the other routers from their reports.
+    def change_requests(self, change: int, now_s: float) -> None:
+        """Add to the number of this router's requests in flight there.
 
-        The number of requests does not go below what the server reported recently.
+        :param change: requests that were sent, negative for requests that ended.
+        :param now_s: monotonic time.
+        """
+        self.requests += change
+        self.request_changes.append((now_s, self.requests))
+
+    def update_peer_load(
+        self,
+        reported: PeerLoad,
+        heard_share: float,
+        now_s: float,
+        estimator: LoadEstimator = LOAD_ESTIMATORS[DEFAULT_LOAD_ESTIMATOR],
+    ) -> None:
+        """Update the load of the other routers from their reports.
 
-        :param reported: sum of the loads that they reported.
+        :param reported: sum of the loads that they reported, extrapolated to all.
+        :param heard_share: fraction of the other routers that reported.
         :param now_s: monotonic time.
+        :param estimator: estimator of their number of requests.
         """
         self.peer_reported_requests = reported.requests
+        self.heard_share = heard_share
         self.own_requests_at_report = self.requests
-        if now_s - self.server_reported_s < SERVER_LOAD_LIFETIME_S:
-            reported.requests = max(reported.requests, self.server_reported_requests)
         self.peer_load = reported
+        self._estimate_peer_requests(now_s, estimator)
+
+    def update_statement(
+        self,
+        statement: LoadStatement,
+        now_s: float,
+        estimator: LoadEstimator = LOAD_ESTIMATORS[DEFAULT_LOAD_ESTIMATOR],
+    ) -> None:
+        """Update the load of the other routers from a statement of the server.
+
+        A statement that is older than the latest one is ignored.
+
+        :param statement: the statement.
+        :param now_s: monotonic time.
+        :param estimator: estimator of the other routers' number of requests.
+        """
+        if self.statement is not None and statement.stated_s <= self.statement.stated_s:
+            return
+        self.statement = statement
+        self._estimate_peer_requests(now_s, estimator)
+
+    def _estimate_peer_requests(self, now_s: float, estimator: LoadEstimator) -> None:
+        stated_requests, age_s = None, 0.0
+        if self.statement is not None:
+            age_s = now_s - self.statement.stated_s
+            if age_s < STATEMENT_LIFETIME_S:
+                own = self._count_own_requests_at(self.statement.stated_s)
+                stated_requests = float(max(self.statement.requests - own, 0))
+        self.peer_load.requests = estimator(
+            LoadEvidence(
+                self.peer_reported_requests, self.heard_share, stated_requests, age_s
+            )
+        )
+
+    def _count_own_requests_at(self, at_s: float) -> int:
+        """Return how many requests this router had there at a recent time."""
+        count = self.requests
+        for changed_s, requests in reversed(self.request_changes):
+            if changed_s <= at_s:
+                return requests
+            count = requests
+        return count
 
     def is_silent(self, now_s: float) -> bool:
         """Return whether it sent nothing for too long while requests are in flight.
@@ -268,9 +358,19 @@
 
     The index is rebuilt on first use after a change, since one update of the server
     list changes many records.
+
+    :param load_estimator: registered name of the estimator of other routers' requests.
+    :param read_clock: monotonic clock, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        load_estimator: str = DEFAULT_LOAD_ESTIMATOR,
+        read_clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._load_estimator = LOAD_ESTIMATORS[load_estimator]
+        self._read_clock = read_clock
+        self._records_by_hash: dict[NameHash, ServerRecord] = {}
         self.records: dict[InstanceId, ServerRecord] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
@@ -287,7 +387,7 @@
         if record is not None and record.server == server:
             return
         if record is None or _is_restarted(record.server, server):
-            self.records[server.server_id] = ServerRecord(server, time.monotonic())
+            self.records[server.server_id] = ServerRecord(server, self._read_clock())
         else:
             record.server = server
         log_event(
@@ -315,6 +415,9 @@
             return
         self._is_index_current = True
         self._ready_by_pool, self._all_by_pool = {}, {}
+        self._records_by_hash = {
+            hash_name(server_id): record for server_id, record in self.records.items()
+        }
         servers = sorted(str(record.server) for record in self.records.values())
         self._digest = xxhash.xxh3_64_intdigest("\n".join(servers).encode())
         for record in self.records.values():
@@ -344,20 +447,47 @@
         self._rebuild_index()
         return self._all_by_pool.get(pool, [])
 
+    def find_by_hash(self, server: NameHash) -> ServerRecord | None:
+        """Return the record of a server that another router names, if it is listed.
+
+        :param server: hash of the server's id.
+        """
+        self._rebuild_index()
+        return self._records_by_hash.get(server)
+
+    def update_peer_loads(
+        self, reported: dict[NameHash, PeerLoad], heard_share: float
+    ) -> None:
+        """Update the load of the other routers on every server from their reports.
+
+        :param reported: sums of the loads that they reported, extrapolated to all;
+            a server that is missing has none.
+        :param heard_share: fraction of the other routers that reported.
+        """
+        now_s = self._read_clock()
+        for server_id, record in self.records.items():
+            load = reported.get(hash_name(server_id)) or PeerLoad()
+            record.update_peer_load(load, heard_share, now_s, self._load_estimator)
+
     def update_server_load(self, record: ServerRecord, load: ServerLoad | None) -> None:
-        """Raise the load of the other routers to what the server itself reports.
+        """Record the load that a server stated with a response to this router.
 
         :param record: the server's record.
         :param load: load that came with a response, or ``None`` if it stated none.
         """
         if load is not None:
-            other_requests = max(load.running + load.waiting - record.requests, 0)
-            record.server_reported_requests = float(other_requests)
-            record.server_reported_s = time.monotonic()
-            # The server does not count requests that are still in transit to it.
-            record.peer_load.requests = max(
-                record.peer_reported_requests, float(other_requests)
-            )
+            self.add_statement(record, load.running + load.waiting, 0.0)
+
+    def add_statement(self, record: ServerRecord, requests: int, age_s: float) -> None:
+        """Record what a server stated to this or another router.
+
+        :param record: the server's record.
+        :param requests: requests of all routers that it was running or had queued.
+        :param age_s: seconds since the statement.
+        """
+        now_s = self._read_clock()
+        statement = LoadStatement(requests, now_s - age_s)
+        record.update_statement(statement, now_s, self._load_estimator)
 
 
 def _is_restarted(previous: BackendServer, current: BackendServer) -> bool:
@@ -369,6 +499,13 @@
     )
 
 
-def make_server_table() -> ServerTable:
-    """Return an empty table."""
-    return ServerTable()
+def make_server_table(
+    load_estimator: str = DEFAULT_LOAD_ESTIMATOR,
+    read_clock: Callable[[], float] = time.monotonic,
+) -> ServerTable:
+    """Return an empty table.
+
+    :param load_estimator: registered name of the estimator of other routers' requests.
+    :param read_clock: monotonic clock, in seconds.
+    """
+    return ServerTable(load_estimator, read_clock)
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -169,7 +169,7 @@
         """
         reservation.mark_prefill_done()
         record = reservation.record
-        record.requests -= 1
+        record.change_requests(-1, asyncio.get_running_loop().time())
         record.held_tokens -= reservation.held_tokens
         pool = record.server.pool
         if taken_s is not None:
@@ -294,7 +294,7 @@
         reservation = reservations[chosen.server_id]
         record = reservation.record
         usage.add(request.workspace, max(reservation.held_tokens, 1), now_s)
-        record.requests += 1
+        record.change_requests(1, now_s)
         record.prompt_tokens += reservation.prompt_tokens
         record.held_tokens += reservation.held_tokens
         source = reservation.fetch_from
