Bound a flood at plain servers by one share that all routers admit

Ruled out: a limit of one request a router and server alone, which overcommits a server in a flood (its refusals double at 150 routers). Change: a router may always have one request at a server; routers admit a share of their requests, the most urgent first and a tenth without regard to rank, that falls while servers hold over 1.7 requests a slot by their statements and rises otherwise; the rest is refused at once.

--- a/bilberryspring/policy/direct_admission.py
+++ b/bilberryspring/policy/direct_admission.py
@@ -23,6 +23,9 @@
 # Until the next load reports, each router may use an equal share of the free slots
 # times this factor, since some routers have fewer requests to send.
 LIMIT_GROWTH_FACTOR = 1.5
+# A share of less than one request would leave idle servers unused. The load of many
+# routers with one request each is bounded by the share of requests that all admit.
+MIN_ROUTER_LIMIT = 1.0
 # Where the response time alone exceeds the latency target, a request may wait this
 # fraction of the target.
 MIN_WAIT_TARGET_SHARE = 0.1
@@ -129,6 +132,7 @@
     """
     free = max(limit_requests - other_requests - reported_own_requests, 0.0)
     return max(
+        MIN_ROUTER_LIMIT,
         limit_requests / router_count,
         reported_own_requests + LIMIT_GROWTH_FACTOR * free / router_count,
     )
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -28,6 +28,7 @@
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import ServerRecord, ServerTable
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+from bilberryspring.request.load_shedding import LoadShedder, make_load_shedder
 from bilberryspring.request.recent_usage import (
     RecentUsage,
     make_recent_usage,
@@ -98,6 +99,9 @@
         self._sequence_numbers = itertools.count()
         self._mean_service_s: dict[PoolName, float] = {}
         self._usage: defaultdict[PoolName, RecentUsage] = defaultdict(make_recent_usage)
+        self._shedders: defaultdict[PoolName, LoadShedder] = defaultdict(
+            make_load_shedder
+        )
         self.router_count = 1
 
     def set_load_factor(self, load_factor: float) -> None:
@@ -120,6 +124,9 @@
         """
         queue = self._waiting.setdefault(pool.name, [])
         priority_key = self._make_priority_key(request, pool)
+        refusal = self._shed_load(request, pool, priority_key)
+        if refusal is not None:
+            return refusal
         if not queue or priority_key < queue[0].sort_key[:3]:
             found = self._try_reserve(request, pool)
             if isinstance(found, Reservation):
@@ -221,6 +228,34 @@
         is_heavy = self._usage[pool.name].is_heavy(request.workspace, now_s)
         return request.rank_order, request.route.rank_order, is_heavy
 
+    def _shed_load(
+        self,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        priority_key: tuple[int, int, bool],
+    ) -> Failure | None:
+        """Refuse a request of a plain service beyond the share that is admitted."""
+        if pool.engine is not None or request.tried_server_ids:
+            return None
+        shedder = self._shedders[pool.name]
+        now_s = asyncio.get_running_loop().time()
+        if shedder.is_due(now_s):
+            ready = self._servers.list_ready(pool.name)
+            slots = sum(record.server.slots for record in ready)
+            requests = sum(record.total_requests for record in ready)
+            shedder.adjust(requests / max(slots, 1), now_s)
+        draw = draw_uniform(request.request_id, pool.name)
+        if shedder.admits(priority_key, draw, now_s):
+            return None
+        wait_s = self.get_mean_service_s(pool.name) / shedder.admitted_share
+        return make_failure(
+            ErrorKind.OVERLOADED,
+            f"the servers are overloaded and admit {shedder.admitted_share:.2f}"
+            " of the requests",
+            retry_after_s=max(wait_s, MIN_RETRY_AFTER_S)
+            * random.uniform(1.0, RETRY_AFTER_SPREAD),
+        )
+
     def _predict_refusal(
         self,
         request: IncomingRequest,
