Close connections whose bytes belong to no answer, and bound what they cost

Cause: (1) a late copy of an answer whose request id is missing was taken for the answer to the next request on the connection, also a late 'not run'; (2) status lines, headers, chunk extensions, trailers and interim responses without end were read until the request's deadline, headers into memory; so were an event without end and the body of a skipped answer. Ruled out: a clean late copy on an idle connection (such a connection was not used again), one split over two reads, a close without the proof. Change: an answer that names no request tells nothing about this one; bytes on an idle connection close it at once; a response may have 64 KB and eight times its body of other bytes, a skipped answer 1 MB, an event 1 MB, an answer of the store 16 MB. The stand-in's 421 echoes the id as servers do.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -23,6 +23,13 @@
 ]
 
 READ_HIGH_WATER_BYTES = 256 * 1024
+# Bytes of a response besides its body: status lines, headers, chunk sizes, trailers. A
+# chunk of one byte has five bytes of framing.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Unread bytes of an earlier response that are discarded before a connection counts as
+# broken.
+MAX_DISCARDED_BYTES = 1024 * 1024
 
 
 class ConnectionFailureKind(Enum):
@@ -98,6 +105,9 @@
         self._failure: ConnectionFailure | None = None
         self._keeps_alive = True
         self._has_response_started = False
+        self._overhead_bytes = 0
+        self._body_bytes = 0
+        self._is_idle = False
         self.idle_since_s = 0.0
         self.keep_alive_timeout_s: float | None = None
 
@@ -112,12 +122,25 @@
         self._has_response_started = True
         if self._failure is not None:
             return
+        if self._is_idle:
+            reason = "bytes arrived on an idle connection"
+            self._fail(ConnectionFailureKind.MALFORMED, reason)
+            return
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(
                 ConnectionFailureKind.MALFORMED, str(error) or type(error).__name__
             )
+            return
+        self._overhead_bytes += len(data) - (self._body_bytes - body_bytes)
+        allowed_bytes = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * (
+            self._body_bytes
+        )
+        if self._overhead_bytes > allowed_bytes:
+            reason = f"{self._overhead_bytes} bytes of a response besides its body"
+            self._fail(ConnectionFailureKind.MALFORMED, reason)
 
     def eof_received(self) -> bool:
         """Return False, so that the transport closes this side too."""
@@ -169,6 +192,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body, and pause reading if too much is buffered."""
+        self._body_bytes += len(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport is not None:
             self._transport.pause_reading()
@@ -203,6 +227,8 @@
         :param data: head and body of the request.
         """
         self._has_response_started = False
+        self._overhead_bytes = self._body_bytes = 0
+        self._is_idle = False
         if self._transport is not None and self._failure is None:
             self._transport.write(data)
 
@@ -213,10 +239,17 @@
 
         :returns: the head, or the failure of the connection.
         """
+        discarded_bytes = 0
         while True:
             part = await self._read_part()
             if isinstance(part, ResponseHead | ConnectionFailure):
                 return part
+            if isinstance(part, bytes):
+                discarded_bytes += len(part)
+            if discarded_bytes > MAX_DISCARDED_BYTES:
+                reason = f"over {MAX_DISCARDED_BYTES} bytes of another response"
+                self._fail(ConnectionFailureKind.MALFORMED, reason)
+                self._received_parts.clear()
 
     async def read_chunk(self) -> bytes | None | ConnectionFailure:
         """Wait for the next part of the response body.
@@ -267,6 +300,16 @@
             and self._transport.get_write_buffer_size() == 0
         )
 
+    def set_idle(self, now_s: float) -> None:
+        """Mark that no response is outstanding until the next request.
+
+        Bytes that arrive while the connection is idle close it.
+
+        :param now_s: monotonic time.
+        """
+        self._is_idle = True
+        self.idle_since_s = now_s
+
     def close(self) -> None:
         """Abort the connection; the server then drops a request in progress."""
         if self._transport is not None:
--- a/bilberryspring/connection/tests/test_http_backend.py
+++ b/bilberryspring/connection/tests/test_http_backend.py
@@ -155,3 +155,81 @@
         port = sock.getsockname()[1]
     failure = await open_connection("127.0.0.1", port, 0.5)
     assert failure.kind is ConnectionFailureKind.UNREACHABLE
+
+
+OK_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# First bytes of a response, and bytes that are then sent without end.
+ENDLESS_RESPONSES = {
+    "status-line": (b"HTTP/1.1 200 ", b"x" * 1000),
+    "header-line": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x" * 1000),
+    "header-name": (b"HTTP/1.1 200 OK\r\n", b"x" * 1000),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-More: y\r\n" * 100),
+    "interim-responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 40),
+    "chunk-size": (OK_CHUNKED, b"0" * 1000),
+    "chunk-extension": (OK_CHUNKED + b"1;", b"x" * 1000),
+    "trailer": (OK_CHUNKED + b"0\r\n", b"X-More: y\r\n" * 100),
+    "spaces": (b"HTTP/1.1 200 OK\r\nX-Space:", b" " * 1000),
+    "not-http": (b"", b"\xff" * 1000),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+@pytest.mark.parametrize("pause_s", [0.0, 0.001])
+async def test_bytes_without_end_close_the_connection(name, pause_s):
+    begin, more = ENDLESS_RESPONSES[name]
+    sent_bytes = 0
+    closed = asyncio.Event()
+
+    async def write_response(writer):
+        nonlocal sent_bytes
+        writer.write(begin)
+        try:
+            while True:
+                writer.write(more)
+                sent_bytes += len(more)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+        except ConnectionError:
+            closed.set()
+
+    server, connection = await send_request(write_response)
+    async with asyncio.timeout(5):
+        _, body, end = await read_all(connection)
+        await closed.wait()
+    assert isinstance(end, ConnectionFailure)
+    assert end.kind is ConnectionFailureKind.MALFORMED
+    assert not body
+    # The sockets' buffers hold some megabytes that the connection never reads.
+    assert sent_bytes < 8_000_000
+    server.close()
+
+
+async def test_body_of_another_response_without_end_closes_the_connection():
+    async def write_response(writer):
+        writer.write(OK_CHUNKED)
+        try:
+            while True:
+                writer.write(b"3e8\r\n" + b"x" * 1000 + b"\r\n")
+                await writer.drain()
+        except ConnectionError:
+            pass
+
+    server, connection = await send_request(write_response)
+    async with asyncio.timeout(5):
+        assert (await connection.read_head()).status == 200
+        # The head was that of another response, so the next one is awaited.
+        end = await connection.read_head()
+    assert isinstance(end, ConnectionFailure)
+    assert end.kind is ConnectionFailureKind.MALFORMED
+    server.close()
+
+
+async def test_chunks_of_one_byte_are_a_sound_body():
+    async def write_response(writer):
+        writer.write(OK_CHUNKED + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n")
+        await writer.drain()
+
+    server, connection = await send_request(write_response)
+    head, body, end = await read_all(connection)
+    assert (head.status, len(body), end) == (200, 50_000, None)
+    server.close()
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -69,7 +69,8 @@
     async def read_head(self) -> BackendResponseHead | Failure:
         """Wait for the head of the response to this request.
 
-        A response to an earlier request may arrive first; it is skipped.
+        A response to an earlier request may arrive first; it is skipped. One without an
+        id may be such a response, so it tells nothing about this request.
 
         :returns: the head, or a failure if the connection broke.
         """
@@ -81,7 +82,12 @@
                 "keep_alive", head.find_header(b"keep-alive"), _decode_keep_alive_s
             )
             found_id = head.find_header(wire.ATTEMPT_ID)
-            if found_id == self._request_id or found_id is None:
+            if found_id is None:
+                return make_failure(
+                    ErrorKind.BACKEND_FAILED,
+                    f"a response with status {head.status} names no request",
+                )
+            if found_id == self._request_id:
                 load = self._decode_or_record(
                     "server_load", head.find_header(wire.SERVER_LOAD), _decode_load
                 )
@@ -188,7 +194,7 @@
         :param server: server at the other end of the connection.
         :param connection: connection on which no response is outstanding.
         """
-        connection.idle_since_s = asyncio.get_running_loop().time()
+        connection.set_idle(asyncio.get_running_loop().time())
         idle = self._idle_connections.setdefault((server.host, server.port), deque())
         idle.append(connection)
         if len(idle) > MAX_IDLE_CONNECTIONS:
--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -13,6 +13,7 @@
 from bilberryspring.connection.http_backend import (
     BackendConnection,
     ConnectionFailure,
+    ConnectionFailureKind,
     ResponseHead,
     open_connection,
 )
@@ -39,6 +40,8 @@
 # The store responds within some milliseconds. If a response takes longer than a second,
 # a new connection is worth a try.
 CALL_TIMEOUT_S = 1.5
+# Values of up to a megabyte, encoded in base64, and their keys.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.7
 
 
@@ -304,6 +307,10 @@
         if isinstance(chunk, ConnectionFailure):
             return chunk, content
         content += chunk
+        if len(content) > MAX_RESPONSE_BYTES:
+            connection.close()
+            reason = f"a response of more than {MAX_RESPONSE_BYTES} bytes"
+            return ConnectionFailure(ConnectionFailureKind.MALFORMED, reason), b""
     return head, content
 
 
--- a/bilberryspring/platform/tests/platform_standin.py
+++ b/bilberryspring/platform/tests/platform_standin.py
@@ -225,7 +225,8 @@
 
     async def _handle_request(self, request):
         if request.headers["Expect-Replica"] != self.server_id:
-            return web.Response(status=421)
+            request_id = request.headers["Attempt-Id"]
+            return web.Response(status=421, headers={"Attempt-Id": request_id})
         body = await request.read()
         self.executed.append((request, body))
         headers = {
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -13,7 +14,7 @@
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.platform import backend_calls, unreadable_values
 from bilberryspring.platform.backend_calls import make_server_calls
-from bilberryspring.request.errors import ErrorKind, Failure
+from bilberryspring.request.errors import ErrorKind, Failure, Outcome
 from bilberryspring.request.tests.relay_fixtures import (
     make_request,
     make_route,
@@ -129,7 +130,10 @@
 
 
 async def test_response_head_tells_whether_it_is_verified_and_was_executed():
-    not_executed = "HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    not_executed = (
+        "HTTP/1.1 503 No\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n"
+    )
     compressed = make_response("b", "Content-Encoding: gzip\r\n")
     scripted_server = ScriptedServer(not_executed, compressed)
     server, calls = await scripted_server.start(), make_server_calls()
@@ -204,3 +208,61 @@
     server, calls = await ScriptedServer(response).start(), make_server_calls()
     assert (await send_request(calls, server, "a")).is_success
     assert calls.unreadable_values.counts == {"keep_alive": 1}
+
+
+def make_copy(request_id_line):
+    return (
+        f"HTTP/1.1 200 OK\r\n{request_id_line}Response-Seal: s\r\n"
+        "Content-Length: 3\r\n\r\nold"
+    )
+
+
+async def test_late_copy_on_an_idle_connection_closes_it():
+    scripted_server = ScriptedServer(
+        make_response("a") + make_copy("Attempt-Id: a\r\n"), make_response("b")
+    )
+    server, calls = await scripted_server.start(), make_server_calls()
+    assert (await send_request(calls, server, "a")).is_success
+    await asyncio.sleep(0.05)
+    assert (b"Attempt-Id", b"b") in (await send_request(calls, server, "b")).headers
+    assert scripted_server.connections == 2
+
+
+@pytest.mark.parametrize("id_line", ["", "Attempt-Id: \r\n", "Attempt-Id: b\x7f\r\n"])
+@pytest.mark.parametrize("is_executed", [True, False])
+async def test_late_copy_without_a_usable_id_never_answers_another_request(
+    id_line, is_executed
+):
+    copy = make_copy(id_line)
+    if not is_executed:
+        copy = copy.replace("200 OK", "503 No").replace("Response-Seal", "Not-Executed")
+    scripted_server = ScriptedServer(make_response("a"), copy + make_response("b"))
+    server, calls = await scripted_server.start(), make_server_calls()
+    assert (await send_request(calls, server, "a")).is_success
+    found = await send_request(calls, server, "b")
+    if isinstance(found, Failure):
+        assert found.kind is ErrorKind.BACKEND_FAILED
+        assert found.outcome is Outcome.UNKNOWN
+    else:
+        assert (b"Attempt-Id", b"b") in found.headers
+
+
+@pytest.mark.parametrize("cut", range(1, 80, 6))
+async def test_late_copy_that_is_split_over_two_reads_is_skipped(cut):
+    copy = make_copy("Attempt-Id: a\r\n")
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(make_response("a").encode())
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(copy[:cut].encode())
+        await asyncio.sleep(0.01)
+        writer.write((copy[cut:] + make_response("b")).encode())
+
+    listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    server = replace(make_server("s1"), port=port)
+    calls = make_server_calls()
+    assert (await send_request(calls, server, "a")).is_success
+    found = await send_request(calls, server, "b")
+    assert (b"Attempt-Id", b"b") in found.headers
--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -3,6 +3,7 @@
 __all__ = ["EventSplitter", "make_event_splitter"]
 
 _SEPARATOR = b"\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class EventSplitter:
@@ -37,6 +38,11 @@
         self._update_last_id(events)
         return events
 
+    @property
+    def is_event_too_long(self) -> bool:
+        """Whether the bytes since the last separator exceed an event's maximum size."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     def _update_last_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
             if line.startswith(b"id:"):
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -27,7 +27,10 @@
 from bilberryspring.request.crash_records import CrashRecords
 from bilberryspring.request.dispatcher import Dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
-from bilberryspring.request.event_splitter import make_event_splitter
+from bilberryspring.request.event_splitter import (
+    MAX_EVENT_BYTES,
+    make_event_splitter,
+)
 from bilberryspring.request.fleet_budget import FleetRetryBudget
 from bilberryspring.request.reservations import Reservation
 from bilberryspring.request.response_progress import ResponseProgress
@@ -367,6 +370,9 @@
             reservation.mark_prefill_done()
             reservation.record.record_response(stream_token, loop.time())
             await answer.write(splitter.feed(chunk))
+            if splitter.is_event_too_long:
+                reason = f"an event of more than {MAX_EVENT_BYTES} bytes"
+                return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
     async def _read_unless_silent(
         self, read, request: IncomingRequest, reservation: Reservation
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -194,3 +194,12 @@
     answer, _ = await relay(RESUMABLE_ROUTE, [first, second])
     assert answer.body == b"id: 1\n\n"
     assert answer.is_broken and not answer.is_finished
+
+
+async def test_event_without_end_breaks_the_stream_off():
+    route = make_route(ExecutionRule.STREAM)
+    endless = [make_head(), b"id: 1\ndata: a\n\n", *[b"x" * 65_536] * 40]
+    answer, calls = await relay(route, [endless])
+    assert answer.is_broken and not answer.is_finished
+    assert answer.body == b"id: 1\ndata: a\n\n"
+    assert calls.closed == 1
