Let chats wait for their home engines before their parts are copied

A request that waited for a place was also held to its deadline, beyond where it could end. Change: a request waits for one of its two preferred homes (the first two of four that are usable) for up to half of its slack, or until the penalty of a copy; others pass it meanwhile; waiting requests are placed again each 30 ms; nothing waits beyond the time at which its response could still be complete.

--- a/bilberryspring/policy/direct_placement.py
+++ b/bilberryspring/policy/direct_placement.py
@@ -19,11 +19,13 @@
 
 __all__ = [
     "DIRECT_PLACEMENT_POLICIES",
+    "PREFERRED_HOMES",
     "ServerCandidate",
     "choose_server",
     "draw_uniform",
     "sample_servers",
     "rank_homes",
+    "compute_home_wait",
     "compute_off_home_penalties",
     "compute_unsampled_penalties",
 ]
@@ -55,9 +57,11 @@
 
 DIRECT_PLACEMENT_POLICIES: Registry[DirectPlacementPolicy] = make_registry()
 
-# The home, its predecessor or successor, and one more in case both leave the pool at
-# the same time.
-MAX_HOMES = 3
+# Ranked homes of a chat. The first usable ones are preferred, so that a chat's shared
+# parts are kept on few engines; the others take the place of those that are avoided or
+# leave the pool.
+MAX_HOMES = 4
+PREFERRED_HOMES = 2
 # Two random choices balance the load even when load reports are stale. With more
 # choices, routers select the same servers again.
 SAMPLED_SERVERS = 2
@@ -68,6 +72,10 @@
 OFF_HOME_TOKENS_PER_S = 12_000.0
 PENALTY_SHARE_PER_RANK = 0.2
 
+# Share of the time until the latency target that a request may wait for a home engine;
+# the rest is for the prefill there.
+HOME_WAIT_SLACK_SHARE = 0.5
+
 # Penalty of a server in another availability zone: twice the one-way latency between
 # zones.
 CROSS_ZONE_PENALTY_S = 0.002
@@ -201,6 +209,25 @@
     }
 
 
+def compute_home_wait(shared_tokens: int, target_s: float, start_s: float) -> float:
+    """Return how long a request may wait for capacity of one of its home engines.
+
+    A copy of the shared parts elsewhere evicts parts of other chats, which then have to
+    be read again. A wait costs nothing while the response still begins within its
+    target.
+
+    :param shared_tokens: number of tokens in the shared parts.
+    :param target_s: latency target of the first token, in seconds.
+    :param start_s: expected time in seconds from dispatch to the first token.
+    :returns: longest wait in seconds since the arrival.
+
+    >>> compute_home_wait(12_000, 1.2, 0.2), compute_home_wait(0, 1.2, 0.2)
+    (0.5, 0.0)
+    """
+    slack_s = max(target_s - start_s, 0.0) * HOME_WAIT_SLACK_SHARE
+    return min(slack_s, shared_tokens / OFF_HOME_TOKENS_PER_S)
+
+
 def compute_unsampled_penalties(
     request_key: str, server_ids: Sequence[str], service_s: float
 ) -> dict[str, float]:
--- a/bilberryspring/policy/tests/fleet_replay.py
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 import random
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -39,6 +39,43 @@
 LOAD_BOUND_MARGIN = 3.0
 LOAD_BOUND_WINDOW_S = 5.0
 PORT = 7340
+PREFILL_TOKENS_PER_S = 140_000.0
+FETCH_TOKENS_PER_S = 250_000.0
+DECODE_S_PER_TOKEN = 0.0024
+# Requests before the measurement, which fill the engines' caches.
+CACHE_WARM_UP_S = 4.0
+# A shared part counts as read again if it was used within this time.
+REUSE_WINDOW_S = 10.0
+
+
+@dataclass(frozen=True)
+class ChatKind:
+    """Chats of an engine workload, and the size of their requests.
+
+    :param weight: relative frequency of the requests.
+    :param chats: number of chats that share a part.
+    :param shared_tokens: size of the part that the requests of a chat share.
+    :param own_tokens: prompt tokens of each request besides.
+    :param output_tokens: tokens that a response has.
+    :param target_s: latency target of the first token in seconds.
+    :param rank_order: order number of the work rank.
+    """
+
+    weight: float
+    chats: int
+    shared_tokens: int
+    own_tokens: int
+    output_tokens: int
+    target_s: float
+    rank_order: int
+
+
+# Long rolls, many drafts with long answers, and short checks.
+CHAT_KINDS = (
+    ChatKind(64.0, 450, 10_500, 1_300, 385, 1.223, 1),
+    ChatKind(116.0, 600, 700, 130, 286, 0.409, 1),
+    ChatKind(184.0, 400, 2_000, 360, 22, 0.411, 2),
+)
 
 
 @dataclass(frozen=True)
@@ -58,8 +95,11 @@
     :param flood_share: fraction of the requests that one workspace sends.
     :param burst: begin and end in seconds, and factor of the arrival rate between them.
     :param joining: time in seconds at which servers join, and their number.
-    :param added_service_s: time in seconds by which the other requests at a server
-        slow each request there.
+    :param chat_kinds: kinds of the chats of engines, whose requests then follow from
+        them; empty for requests of one kind that engines answer from their cache.
+    :param memory_tokens: capacity of an engine for running requests and cached parts.
+    :param arrivals_per_s: arrival rate that replaces the one by utilization; zero for
+        none.
     """
 
     routers: int = 68
@@ -75,6 +115,9 @@
     flood_share: float = 0.0
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
     joining: tuple[float, int] = (math.inf, 0)
+    chat_kinds: tuple[ChatKind, ...] = ()
+    memory_tokens: int = 333_000
+    arrivals_per_s: float = 0.0
 
 
 @dataclass
@@ -84,9 +127,11 @@
     :param response_s: time in seconds from arrival to response, of answered requests.
     :param refused_after_s: time in seconds from arrival to refusal.
     :param server_refusals: number of requests that a server refused.
+    :param first_token_s: times in seconds to the first token, by kind of chat.
     """
 
     response_s: list = field(default_factory=list)
+    first_token_s: dict = field(default_factory=dict)
     refused_after_s: list = field(default_factory=list)
     server_refusals: int = 0
 
@@ -109,6 +154,9 @@
     :param arrivals: time in seconds of each arrival at a server, and whether the server
         was beyond the load bound.
     :param report_bytes_per_s: bytes of reports that a router sent a second.
+    :param reread_tokens: tokens of shared parts that an engine read although some
+        engine had used them recently.
+    :param fetched_tokens: tokens of shared parts that engines copied from each other.
     """
 
     by_workspace: dict = field(default_factory=dict)
@@ -116,6 +164,8 @@
     true_loads: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)
     report_bytes_per_s: float = 0.0
+    reread_tokens: int = 0
+    fetched_tokens: int = 0
 
     @property
     def all(self):
@@ -124,6 +174,8 @@
             merged.response_s += outcomes.response_s
             merged.refused_after_s += outcomes.refused_after_s
             merged.server_refusals += outcomes.server_refusals
+            for kind, times_s in outcomes.first_token_s.items():
+                merged.first_token_s.setdefault(kind, []).extend(times_s)
         return merged
 
     def compute_rms_load_error(self):
@@ -148,6 +200,55 @@
         self.rng = rng
         self.slots = asyncio.Semaphore(fleet.slots)
         self.present = 0
+        self.parts = OrderedDict()
+        self.running_tokens = 0
+        self.prefills = asyncio.Lock()
+
+    def cache_part(self, part):
+        """Cache a part, and evict the least recently used ones if memory is full."""
+        self.parts[part.part_id] = part.tokens
+        self.parts.move_to_end(part.part_id)
+        used_tokens = self.running_tokens + sum(self.parts.values())
+        while used_tokens > self.fleet.memory_tokens and len(self.parts) > 1:
+            used_tokens -= self.parts.popitem(last=False)[1]
+
+    async def serve_chat(self, prompt, source, last_used_s, result, state):
+        """Read a prompt and generate a response; return whether it ran.
+
+        :param prompt: prompt whose last part belongs to the request.
+        :param source: engine to copy missing parts from, or ``None``.
+        :param last_used_s: time of the last use of each part at any engine.
+        :param result: measurements to add to.
+        :param state: called with the stated load when the response begins.
+        """
+        if self.present >= self.fleet.slots + self.fleet.queued:
+            state(self.state_load())
+            return False
+        self.present += 1
+        async with self.slots:
+            loop = asyncio.get_running_loop()
+            own_tokens = prompt.parts[-1].tokens + prompt.output_tokens
+            self.running_tokens += own_tokens
+            async with self.prefills:
+                prefill_s = prompt.parts[-1].tokens / PREFILL_TOKENS_PER_S
+                for part in prompt.parts[:-1]:
+                    if part.part_id not in self.parts:
+                        if source is not None and part.part_id in source.parts:
+                            prefill_s += part.tokens / FETCH_TOKENS_PER_S
+                            result.fetched_tokens += part.tokens
+                        else:
+                            prefill_s += part.tokens / PREFILL_TOKENS_PER_S
+                            used_s = last_used_s.get(part.part_id, -math.inf)
+                            if loop.time() - used_s < REUSE_WINDOW_S:
+                                result.reread_tokens += part.tokens
+                    self.cache_part(part)
+                    last_used_s[part.part_id] = loop.time()
+                await asyncio.sleep(prefill_s)
+            state(self.state_load())
+            await asyncio.sleep(prompt.output_tokens * DECODE_S_PER_TOKEN)
+            self.running_tokens -= own_tokens
+        self.present -= 1
+        return True
 
     def state_load(self):
         running = min(self.present, self.fleet.slots)
@@ -256,7 +357,9 @@
     limits = type(ENGINE)(fleet.slots, 333_000, 11, True) if fleet.is_engine else None
     pool = PoolLimits(pool_name, 500, limits)
     rule = ExecutionRule.STREAM if fleet.is_engine else ExecutionRule.ONCE
-    route = make_route(rule, target_s=fleet.target_s, timeout_s=fleet.deadline_s)
+    plain_route = make_route(rule, target_s=fleet.target_s, timeout_s=fleet.deadline_s)
+    last_used_s = {}
+    warm_up_s = WARM_UP_S + (CACHE_WARM_UP_S if fleet.chat_kinds else 0.0)
     result = FleetResult()
 
     def add_servers(count):
@@ -269,14 +372,31 @@
     async def run(number, workspace):
         outcomes = result.by_workspace.setdefault(workspace, Outcomes())
         router = routers[rng.randrange(len(routers))]
-        prompt = None
-        if fleet.is_engine:
+        prompt, kind_number, route = None, 0, plain_route
+        if fleet.chat_kinds:
+            weights = [kind.weight for kind in fleet.chat_kinds]
+            kind_number = rng.choices(range(len(weights)), weights)[0]
+            kind = fleet.chat_kinds[kind_number]
+            chat = int(kind.chats * rng.random() ** 1.3)
+            prompt = make_prompt(
+                (f"chat{kind_number}-{chat}", kind.shared_tokens),
+                (f"own{number}", kind.own_tokens),
+                output_tokens=kind.output_tokens,
+            )
+            route = make_route(
+                rule,
+                target_s=kind.target_s,
+                timeout_s=fleet.deadline_s,
+                rank_order=kind.rank_order,
+            )
+        elif fleet.is_engine:
             chat = int(fleet.chats * rng.random() ** 1.3)
             prompt = make_prompt((f"chat{chat}", 3000), (f"own{number}", 400))
         request = make_request(route, request_id=f"q{number}", prompt=prompt)
         request.workspace = workspace
+        request.received_s = loop.time()
         arrival_s = loop.time()
-        is_counted = arrival_s >= WARM_UP_S
+        is_counted = arrival_s >= warm_up_s
         while True:
             place = await router.dispatcher.acquire(
                 request, pool, arrival_s + fleet.deadline_s
@@ -296,17 +416,30 @@
                 result.arrivals.append((loop.time(), server.present > bound))
             sent_s = loop.time()
             await asyncio.sleep(NETWORK_DELAY_S)
-            has_run = await server.serve(
-                0.2 if fleet.is_engine else 1.0,
-                lambda load, record=place.record: loop.call_later(
+            begun_s = []
+
+            def state(load, record=place.record, begun_s=begun_s):
+                if is_counted:
+                    begun_s.append(loop.time() - arrival_s)
+                loop.call_later(
                     NETWORK_DELAY_S, router.table.update_server_load, record, load
-                ),
-            )
+                )
+
+            if fleet.chat_kinds:
+                source = request.fetch_from and servers[request.fetch_from.server_id]
+                counted = result if is_counted else FleetResult()
+                has_run = await server.serve_chat(
+                    prompt, source, last_used_s, counted, state
+                )
+            else:
+                share = 0.2 if fleet.is_engine else 1.0
+                has_run = await server.serve(share, state)
             await asyncio.sleep(NETWORK_DELAY_S)
             router.dispatcher.release(place, loop.time() - sent_s if has_run else None)
             if has_run:
                 if is_counted:
                     outcomes.response_s.append(loop.time() - arrival_s)
+                    outcomes.first_token_s.setdefault(kind_number, []).extend(begun_s)
                 return
             outcomes.server_refusals += is_counted
             request.tried_server_ids.add(server_id)
@@ -321,12 +454,13 @@
     running = [asyncio.create_task(router.run()) for router in routers]
     capacity_per_s = fleet.servers * fleet.slots / fleet.service_s
     tasks, begin_s, end_s, factor = [], *fleet.burst
-    end_time_s = WARM_UP_S + duration_s
+    end_time_s = warm_up_s + duration_s
     while loop.time() < end_time_s:
         if loop.time() >= fleet.joining[0] and len(servers) == fleet.servers:
             add_servers(fleet.joining[1])
-        is_burst = begin_s <= loop.time() - WARM_UP_S < end_s
-        rate = capacity_per_s * fleet.utilization * (factor if is_burst else 1.0)
+        is_burst = begin_s <= loop.time() - warm_up_s < end_s
+        rate = fleet.arrivals_per_s or capacity_per_s * fleet.utilization
+        rate *= factor if is_burst else 1.0
         await asyncio.sleep(rng.expovariate(rate))
         is_flood = rng.random() < fleet.flood_share
         workspace = "flood" if is_flood else f"w{len(tasks) % 20}"
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -19,8 +19,10 @@
 )
 from bilberryspring.policy.direct_placement import (
     DEFAULT_DIRECT_PLACEMENT_POLICY,
+    PREFERRED_HOMES,
     ServerCandidate,
     choose_server,
+    compute_home_wait,
     compute_off_home_penalties,
     compute_unsampled_penalties,
     draw_uniform,
@@ -58,6 +60,11 @@
 # other routers send before their next reports arrive.
 LOAD_FACTOR_SHARE = 0.65
 MIN_RETRY_AFTER_S = 0.05
+# How often waiting requests are placed again while no request of this router ends:
+# capacity also becomes free through requests of the other routers.
+REDISPATCH_INTERVAL_S = 0.03
+# Waiting requests that are tried at a time; the others wait behind these.
+MAX_DISPATCH_SCAN = 16
 # Upper bound of the random factor on the predicted wait that spreads the retries of
 # callers which are refused together.
 RETRY_AFTER_SPREAD = 1.5
@@ -96,6 +103,7 @@
         self._zone = zone
         self.set_load_factor(load_factor)
         self._waiting: dict[PoolName, list[_WaitingRequest]] = {}
+        self._redispatches: dict[PoolName, asyncio.TimerHandle] = {}
         self._sequence_numbers = itertools.count()
         self._mean_service_s: dict[PoolName, float] = {}
         self._usage: defaultdict[PoolName, RecentUsage] = defaultdict(make_recent_usage)
@@ -143,13 +151,18 @@
             asyncio.get_running_loop().create_future(),
         )
         heapq.heappush(queue, waiting)
+        self._schedule_redispatch(pool.name)
         found = None
         try:
-            async with asyncio.timeout(max(0.0, must_end_s - self._read_clock())):
+            service_s = self.get_mean_service_s(pool.name)
+            wait_s = must_end_s - self._read_clock() - service_s
+            async with asyncio.timeout(max(0.0, wait_s)):
                 found = await waiting.result
         except TimeoutError:
-            reason = "no server had free capacity before the deadline"
-            return make_failure(ErrorKind.OVERLOADED, reason)
+            reason = "no server had free capacity in time for a complete response"
+            return make_failure(
+                ErrorKind.OVERLOADED, reason, retry_after_s=MIN_RETRY_AFTER_S
+            )
         finally:
             if found is None:
                 self._discard_waiting(waiting, queue)
@@ -189,19 +202,39 @@
     def dispatch_waiting(self, pool: PoolName) -> None:
         """Assign servers to the waiting requests of a pool, the most urgent first.
 
+        A request that waits for one of its home engines lets others pass, since these
+        have other homes.
+
         :param pool: name of the pool.
         """
         queue = self._waiting.get(pool)
-        while queue:
-            waiting = queue[0]
+        if not queue:
+            return
+        for waiting in heapq.nsmallest(MAX_DISPATCH_SCAN, queue):
             if waiting.result.done():
-                heapq.heappop(queue)
                 continue
             found = self._try_reserve(waiting.request, waiting.pool)
             if isinstance(found, Failure) and found.kind is not ErrorKind.NO_INSTANCE:
-                return
-            heapq.heappop(queue)
+                if waiting.pool.engine is None:
+                    break
+                continue
             waiting.result.set_result(found)
+        open_requests = [each for each in queue if not each.result.done()]
+        if len(open_requests) < len(queue):
+            queue[:] = open_requests
+            heapq.heapify(queue)
+
+    def _schedule_redispatch(self, pool: PoolName) -> None:
+        if pool not in self._redispatches:
+            self._redispatches[pool] = asyncio.get_running_loop().call_later(
+                REDISPATCH_INTERVAL_S, self._redispatch, pool
+            )
+
+    def _redispatch(self, pool: PoolName) -> None:
+        del self._redispatches[pool]
+        self.dispatch_waiting(pool)
+        if self._waiting.get(pool):
+            self._schedule_redispatch(pool)
 
     def dispatch_all_waiting(self) -> None:
         """Assign servers to waiting requests of all pools after a state update."""
@@ -301,8 +334,15 @@
         healthy = [r for r in untried if not r.is_avoided(now_s)]
         records = healthy or untried
         homes = rank_home_engines(request.prompt, self._servers.list_all(pool.name))
+        preferred_homes = [
+            home
+            for home in homes
+            if home.server.is_ready
+            and not home.is_avoided(now_s)
+            and home.server.server_id not in request.tried_server_ids
+        ][:PREFERRED_HOMES]
         penalties_s = self._compute_start_penalties_s(
-            request, pool, records, homes, now_s
+            request, pool, records, preferred_homes, now_s
         )
         usage = self._usage[pool.name]
         is_heavy = usage.is_heavy(request.workspace, now_s)
@@ -321,6 +361,10 @@
                     record.server.server_id, record.total_requests, start_s, is_near
                 )
             )
+        if self._waits_for_home(request, preferred_homes, reservations):
+            return make_failure(
+                ErrorKind.OVERLOADED, "the home engines are at capacity"
+            )
         chosen = choose_server(self._policy, views, self._load_factor)
         if chosen is None:
             return make_failure(
@@ -336,6 +380,22 @@
         request.fetch_from = None if source is None else source.server
         return reservation
 
+    def _waits_for_home(
+        self,
+        request: IncomingRequest,
+        homes: list[ServerRecord],
+        reservations: dict[str, Reservation],
+    ) -> bool:
+        """Return whether a request should wait for capacity of a home engine."""
+        if request.prompt is None or not reservations:
+            return False
+        if not homes or any(home.server.server_id in reservations for home in homes):
+            return False
+        allowed_s = compute_home_wait(
+            request.prompt.shared_tokens, request.route.target_s, ENGINE_BASE_LATENCY_S
+        )
+        return self._read_clock() - request.received_s < allowed_s
+
     def _compute_start_penalties_s(
         self,
         request: IncomingRequest,
