Keep room on engines for the chats of their home in an overload

Change: the share that routers admit is adjusted at pools of engines as well, to 0.92 requests a slot, and rises by 0.4 a second.

--- a/bilberryspring/policy/shedding.py
+++ b/bilberryspring/policy/shedding.py
@@ -1,4 +1,4 @@
-"""Share of the requests that routers admit to a pool of plain servers.
+"""Share of the requests that routers admit to a pool of servers.
 
 Load pattern: a flood for seconds to minutes, at hundreds of routers before a few
 servers with a few slots each. A router's part of the places is then less than one
@@ -19,9 +19,12 @@
 # Load up to which requests are admitted without loss: each slot is busy, and a short
 # queue keeps it so.
 TARGET_REQUESTS_PER_SLOT = 1.7
+# An engine whose slots are all taken has no room for the chats that have their home
+# there, and copies of these on other engines evict the parts of yet other chats.
+TARGET_REQUESTS_PER_ENGINE_SLOT = 0.92
 # An additive rise and a multiplicative fall lead all routers to the same share, however
 # different their shares were before.
-SHARE_RISE_PER_S = 0.2
+SHARE_RISE_PER_S = 0.4
 MAX_SHARE_FALL_PER_S = 2.0
 # Keeps a few requests coming, whose responses show that the load has fallen.
 MIN_ADMITTED_SHARE = 0.05
@@ -31,21 +34,23 @@
 
 
 def adjust_admitted_share(
-    share: float, requests_per_slot: float, elapsed_s: float
+    share: float, requests_per_slot: float, elapsed_s: float, is_engine: bool = False
 ) -> float:
     """Return the share of requests to admit from now on.
 
     :param share: share admitted so far, from zero to one.
     :param requests_per_slot: mean load of the pool's servers, running and queued.
     :param elapsed_s: time in seconds since the last adjustment.
+    :param is_engine: whether the servers are engines, which run requests in batches.
     :returns: share from ``MIN_ADMITTED_SHARE`` to one.
 
     >>> adjust_admitted_share(0.5, 1.0, 0.25)
-    0.55
+    0.6
     >>> 0.6 < adjust_admitted_share(1.0, 3.4, 0.25) < 0.7
     True
     """
-    excess = requests_per_slot / TARGET_REQUESTS_PER_SLOT - 1
+    target = TARGET_REQUESTS_PER_ENGINE_SLOT if is_engine else TARGET_REQUESTS_PER_SLOT
+    excess = requests_per_slot / target - 1
     if excess > 0:
         share *= math.exp(-MAX_SHARE_FALL_PER_S * min(excess, 1.0) * elapsed_s)
     else:
--- a/bilberryspring/policy/tests/test_direct_placement.py
+++ b/bilberryspring/policy/tests/test_direct_placement.py
@@ -1,6 +1,7 @@
 """Placement of requests on engines and servers, in samples and replays."""
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -11,6 +12,9 @@
     rank_homes,
 )
 from bilberryspring.policy.tests.direct_replay import replay
+from bilberryspring.policy.tests.fleet_replay import CHAT_KINDS, Fleet, replay_fleet
+from bilberryspring.request import dispatcher
+from bilberryspring.request.dispatcher import Dispatcher
 
 SEEDS = (1, 2, 3)
 
@@ -75,3 +79,59 @@
     without_penalty = [replay(seed, **options) for seed in SEEDS]
     assert sum_recomputed_tokens(placed) < 0.8 * sum_recomputed_tokens(without_penalty)
     assert sum(map(count_late, placed)) <= sum(map(count_late, without_penalty))
+
+
+# A third of a fleet of 38 engines, with a third of its chats.
+LARGE_CHATS = Fleet(
+    routers=20,
+    servers=13,
+    slots=16,
+    queued=8,
+    is_engine=True,
+    deadline_s=8.0,
+    chat_kinds=tuple(replace(kind, chats=kind.chats // 3) for kind in CHAT_KINDS),
+)
+NEARLY_FULL_PER_S, OVERLOAD_PER_S = 375.0, 480.0
+
+
+def replay_chats(arrivals_per_s, seed=1, **changes):
+    fleet = replace(LARGE_CHATS, arrivals_per_s=arrivals_per_s, **changes)
+    return replay_fleet(fleet, seed, 4.0)
+
+
+def count_kind_in_time(result, number):
+    target_s = CHAT_KINDS[number].target_s
+    times_s = result.all.first_token_s.get(number, [])
+    return sum(each_s <= target_s for each_s in times_s)
+
+
+def test_chats_wait_for_their_homes_instead_of_copying_their_parts(monkeypatch):
+    waiting = replay_chats(NEARLY_FULL_PER_S)
+    monkeypatch.setattr(direct_placement, "HOME_WAIT_SLACK_SHARE", 0.0)
+    monkeypatch.setattr(dispatcher, "PREFERRED_HOMES", 3)
+    copying = replay_chats(NEARLY_FULL_PER_S)
+    assert waiting.reread_tokens < 0.5 * copying.reread_tokens
+    for number in range(len(CHAT_KINDS)):
+        assert count_kind_in_time(waiting, number) >= 0.97 * len(
+            waiting.all.first_token_s[number]
+        )
+
+
+def test_engines_keep_room_for_the_chats_of_their_home_in_an_overload(monkeypatch):
+    shedding = replay_chats(OVERLOAD_PER_S)
+    monkeypatch.setattr(Dispatcher, "_shed_load", lambda *_: None)
+    filling = replay_chats(OVERLOAD_PER_S)
+    assert shedding.reread_tokens < 0.7 * filling.reread_tokens
+    # Drafts, the kind worth most, are served in time more often.
+    assert count_kind_in_time(shedding, 1) > count_kind_in_time(filling, 1)
+
+
+def test_a_turn_of_the_mix_neither_delays_rolls_nor_starves_short_checks():
+    rolls, drafts, checks = LARGE_CHATS.chat_kinds
+    turned = (replace(rolls, weight=130.0), replace(drafts, weight=50.0), checks)
+    drafts_first = (replace(rolls, weight=20.0), replace(drafts, weight=190.0), checks)
+    result = replay_chats(250.0, chat_kinds=turned, mix_turn=(1.5, drafts_first))
+    for number in range(len(CHAT_KINDS)):
+        answered = result.all.first_token_s[number]
+        assert count_kind_in_time(result, number) >= 0.95 * len(answered) > 0
+    assert len(result.all.refused_after_s) <= 0.02 * result.all.total
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -267,16 +267,20 @@
         pool: PoolLimits,
         priority_key: tuple[int, int, bool],
     ) -> Failure | None:
-        """Refuse a request of a plain service beyond the share that is admitted."""
-        if pool.engine is not None or request.tried_server_ids:
+        """Refuse a request beyond the share that the routers admit to its pool."""
+        if request.tried_server_ids:
             return None
         shedder = self._shedders[pool.name]
         now_s = asyncio.get_running_loop().time()
         if shedder.is_due(now_s):
             ready = self._servers.list_ready(pool.name)
-            slots = sum(record.server.slots for record in ready)
+            slots = sum(
+                pool.engine.slots if pool.engine else record.server.slots
+                for record in ready
+            )
             requests = sum(record.total_requests for record in ready)
-            shedder.adjust(requests / max(slots, 1), now_s)
+            is_engine = pool.engine is not None
+            shedder.adjust(requests / max(slots, 1), now_s, is_engine)
         draw = draw_uniform(request.request_id, pool.name)
         if shedder.admits(priority_key, draw, now_s):
             return None
--- a/bilberryspring/request/load_shedding.py
+++ b/bilberryspring/request/load_shedding.py
@@ -38,16 +38,19 @@
             or now_s - self._adjusted_s >= ADJUSTMENT_INTERVAL_S
         )
 
-    def adjust(self, requests_per_slot: float, now_s: float) -> None:
+    def adjust(
+        self, requests_per_slot: float, now_s: float, is_engine: bool = False
+    ) -> None:
         """Adjust the share to the load.
 
         :param requests_per_slot: mean load of the pool's servers, running and queued.
         :param now_s: monotonic time.
+        :param is_engine: whether the servers are engines.
         """
         if self._adjusted_s is not None:
             elapsed_s = min(now_s - self._adjusted_s, MAX_ELAPSED_S)
             self.admitted_share = adjust_admitted_share(
-                self.admitted_share, requests_per_slot, elapsed_s
+                self.admitted_share, requests_per_slot, elapsed_s, is_engine
             )
         self._adjusted_s = now_s
 
