Use a plain server's word on how long work takes there

Change: the predicted start at a plain server is multiplied by the figure, which decays to one with a half-life of 0.3 s.

--- a/bilberryspring/policy/load_estimate.py
+++ b/bilberryspring/policy/load_estimate.py
@@ -18,6 +18,7 @@
     "LOAD_ESTIMATORS",
     "LoadEvidence",
     "LoadEstimator",
+    "predict_work_time_ratio",
 ]
 
 DEFAULT_LOAD_ESTIMATOR = "weighted"
@@ -27,6 +28,8 @@
 REPORT_AGE_S = 0.25
 # Keeps the weights finite for evidence without an error.
 MIN_VARIANCE = 0.01
+# Other work on a server's machine comes and goes within fractions of a second.
+WORK_TIME_HALF_LIFE_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,3 +87,16 @@
 
 def _compute_turnover(age_s: float) -> float:
     return 2 * (1 - math.exp(-max(age_s, 0.0) / TURNOVER_S))
+
+
+def predict_work_time_ratio(stated_ratio: float, age_s: float) -> float:
+    """Predict how long work takes at a server now, from what it stated before.
+
+    :param stated_ratio: stated time of work, as a multiple of the usual time.
+    :param age_s: age of the statement in seconds.
+    :returns: multiple of the usual time, the nearer to one the older the statement.
+
+    >>> predict_work_time_ratio(2.5, 0.3)
+    1.75
+    """
+    return 1.0 + (stated_ratio - 1.0) * 0.5 ** (max(age_s, 0.0) / WORK_TIME_HALF_LIFE_S)
--- a/bilberryspring/policy/tests/test_load_estimate.py
+++ b/bilberryspring/policy/tests/test_load_estimate.py
@@ -6,6 +6,7 @@
 
 from bilberryspring.policy.tests.fleet_replay import Fleet, replay_fleet
 from bilberryspring.process import router_peers
+from bilberryspring.process.server_table import ServerRecord
 
 ENGINES = Fleet(
     servers=38,
@@ -53,3 +54,19 @@
 def test_a_burst_beside_joining_servers_keeps_the_load_bound(seed):
     fleet = replace(ENGINES, burst=(0.5, 4.0, 2.2), joining=(4.0, 11))
     assert replay_fleet(fleet, seed, 4.0).compute_share_beyond_bound() <= 0.03
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_servers_on_busy_machines_get_less_work(monkeypatch, seed):
+    fleet = Fleet(
+        routers=5, servers=3, service_s=0.045, utilization=0.4, busy_ratio=2.5
+    )
+    late_s = 0.1
+
+    def count_late():
+        outcomes = replay_fleet(fleet, seed, 12.0).all
+        return outcomes.total - outcomes.count_in_time(late_s)
+
+    with_ratio = count_late()
+    monkeypatch.setattr(ServerRecord, "predict_work_time_ratio", lambda *_: 1.0)
+    assert with_ratio < 0.85 * count_late()
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -16,6 +16,7 @@
     LOAD_ESTIMATORS,
     LoadEstimator,
     LoadEvidence,
+    predict_work_time_ratio,
 )
 from bilberryspring.process.logs import log_event
 
@@ -97,6 +98,9 @@
     :param own_requests_at_report: requests of this router at the time of these reports.
     :param statement: latest statement of the server; ``None`` if there is none.
     :param request_changes: latest changes of ``requests``: time and new value.
+    :param work_time_ratio: time that work takes there by the server's latest word to
+        this router, as a multiple of the usual time.
+    :param work_time_stated_s: monotonic time of that word.
     :param awaited_since_s: for each request in flight, when it was sent or when the
         latest part of its response arrived.
     :param last_response_s: when the server last sent anything.
@@ -121,6 +125,8 @@
     request_changes: deque[tuple[float, int]] = field(
         default_factory=lambda: deque(maxlen=MAX_REQUEST_CHANGES)
     )
+    work_time_ratio: float = 1.0
+    work_time_stated_s: float = 0.0
     awaited_since_s: dict[object, float] = field(default_factory=dict)
     last_response_s: float = 0.0
     consecutive_failures: int = 0
@@ -260,6 +266,14 @@
         weight = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
         return self.slowness**weight if self.slowness > 1 else self.slowness
 
+    def predict_work_time_ratio(self, now_s: float) -> float:
+        """Predict how long work takes there now, as a multiple of the usual time.
+
+        :param now_s: monotonic time.
+        """
+        age_s = now_s - self.work_time_stated_s
+        return predict_work_time_ratio(self.work_time_ratio, age_s)
+
     def count_cached_tokens(self, prompt: Prompt) -> int:
         """Return how many tokens of a prompt's prefix were sent there before.
 
@@ -476,6 +490,8 @@
         :param load: load that came with a response, or ``None`` if it stated none.
         """
         if load is not None:
+            record.work_time_ratio = load.work_time_ratio
+            record.work_time_stated_s = self._read_clock()
             self.add_statement(record, load.running + load.waiting, 0.0)
 
     def add_statement(self, record: ServerRecord, requests: int, age_s: float) -> None:
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -356,6 +356,8 @@
             if not self._has_capacity(record, reservation, request, pool, is_heavy):
                 continue
             slowness = record.compute_slowness(now_s)
+            if pool.engine is None:
+                slowness *= record.predict_work_time_ratio(now_s)
             start_s = self._predict_start_s(reservation, pool) * slowness
             start_s += penalties_s[record.server.server_id]
             is_near = record.server.availability_zone == self._zone
