Judge the progress of a stream by its events

Cause: any byte counted as progress, so a resumable stream that sent bytes now and then without an event ran to its deadline; and a server without other answers was silent after 0.6 s, so a sound stream whose route allows longer pauses was broken off. Ruled out: streams that can't resume, which end at their deadline in any case and are left alone until then. Change: only a complete event is progress; a resumable stream goes on elsewhere after four times its route's pause target without one (1 s at least); for streams, silence is twice the pause target, 0.6 s at least. The tests' scripted server kept beginning a pause anew; it no longer does.

--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -211,16 +211,17 @@
             count = requests
         return count
 
-    def is_silent(self, now_s: float) -> bool:
+    def is_silent(self, now_s: float, timeout_s: float = SILENCE_TIMEOUT_S) -> bool:
         """Return whether it sent nothing for too long while requests are in flight.
 
         :param now_s: monotonic time.
+        :param timeout_s: longest silence in seconds.
         """
         if not self.awaited_since_s:
             return False
         return (
             now_s - max(self.last_response_s, min(self.awaited_since_s.values()))
-            >= SILENCE_TIMEOUT_S
+            >= timeout_s
         )
 
     def is_avoided(self, now_s: float) -> bool:
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -23,7 +23,11 @@
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_metrics import RequestObservation
-from bilberryspring.process.server_table import ServerRecord, ServerTable
+from bilberryspring.process.server_table import (
+    SILENCE_TIMEOUT_S,
+    ServerRecord,
+    ServerTable,
+)
 from bilberryspring.request.crash_records import CrashRecords
 from bilberryspring.request.dispatcher import Dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
@@ -40,6 +44,12 @@
 # How often a pending read checks whether its server has become silent.
 SILENCE_CHECK_INTERVAL_S = 0.25
 MAX_BUFFERED_BODY_BYTES = 8_000_000
+# A stream without a complete event for this multiple of its route's pause target is
+# stalled. Prefills of other prompts and preemptions make some pauses long.
+STALL_PAUSE_FACTOR = 4.0
+MIN_STALL_S = 1.0
+# A server that sends nothing at all for this multiple is silent.
+SILENT_PAUSE_FACTOR = 2.0
 _SUCCESS = None
 
 
@@ -357,7 +367,7 @@
         loop = asyncio.get_running_loop()
         while True:
             chunk = await self._read_unless_silent(
-                exchange.read_chunk, request, reservation
+                exchange.read_chunk, request, reservation, stream_token
             )
             if isinstance(chunk, Failure):
                 return chunk
@@ -368,18 +378,47 @@
                 answer.finish()
                 return _SUCCESS
             reservation.mark_prefill_done()
-            reservation.record.record_response(stream_token, loop.time())
-            await answer.write(splitter.feed(chunk))
+            events = splitter.feed(chunk)
+            if events:
+                reservation.record.record_response(stream_token, loop.time())
+            else:
+                stall = self._find_stall(request, reservation.record, stream_token)
+                if stall is not None:
+                    return stall
+            await answer.write(events)
             if splitter.is_event_too_long:
                 reason = f"an event of more than {MAX_EVENT_BYTES} bytes"
                 return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
+    def _find_stall(
+        self, request: IncomingRequest, record: ServerRecord, stream_token: object
+    ) -> Failure | None:
+        """Return why a stream should go on at another server, ``None`` if it need not.
+
+        Bytes without a complete event are no progress.
+        """
+        now_s = asyncio.get_running_loop().time()
+        pause_s = now_s - record.awaited_since_s[stream_token]
+        limit_s = max(MIN_STALL_S, STALL_PAUSE_FACTOR * request.route.pause_target_s)
+        may_retry = (
+            request.route.is_repeatable and request.attempts < request.route.max_servers
+        )
+        if pause_s < limit_s or not may_retry or not self._budget.can_spend():
+            return None
+        reason = f"{record.server.server_id} sent no event for {pause_s:.1f} s"
+        return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
     async def _read_unless_silent(
-        self, read, request: IncomingRequest, reservation: Reservation
+        self,
+        read,
+        request: IncomingRequest,
+        reservation: Reservation,
+        stream_token: object | None = None,
     ):
         """Read a part of a response.
 
-        The read fails if the server is silent and the request may still be retried.
+        The read fails if the request may still be retried, and the server is silent or
+        its stream, given by its token, is stalled.
         """
         record, loop = reservation.record, asyncio.get_running_loop()
         if not request.route.is_repeatable:
@@ -391,7 +430,15 @@
             except TimeoutError:
                 now_s = loop.time()
                 may_retry = request.attempts < request.route.max_servers
-                if may_retry and record.is_silent(now_s) and self._budget.can_spend():
+                silence_s = SILENCE_TIMEOUT_S
+                if stream_token is not None:
+                    stall = self._find_stall(request, record, stream_token)
+                    if stall is not None:
+                        return stall
+                    pause_s = SILENT_PAUSE_FACTOR * request.route.pause_target_s
+                    silence_s = max(silence_s, pause_s)
+                is_silent = record.is_silent(now_s, silence_s)
+                if may_retry and is_silent and self._budget.can_spend():
                     reason = f"{record.server.server_id} is silent"
                     return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
--- a/bilberryspring/request/tests/relay_fixtures.py
+++ b/bilberryspring/request/tests/relay_fixtures.py
@@ -91,11 +91,16 @@
 
     script: list
     calls: "ScriptedBackendCalls"
+    pause_ends_s: float | None = None
 
     async def _next(self):
         while self.script and isinstance(self.script[0], float):
-            pause_s = self.script[0]
-            await asyncio.sleep(pause_s)
+            # A read that is cancelled in a pause does not begin the pause anew.
+            now_s = asyncio.get_running_loop().time()
+            if self.pause_ends_s is None:
+                self.pause_ends_s = now_s + self.script[0]
+            await asyncio.sleep(self.pause_ends_s - now_s)
+            self.pause_ends_s = None
             self.script.pop(0)
         if not self.script:
             await asyncio.Event().wait()
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -4,12 +4,15 @@
 continues with the wrong events.
 """
 
+import asyncio
+
 import pytest
 
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
+from bilberryspring.request.relay import MIN_STALL_S, STALL_PAUSE_FACTOR
 from bilberryspring.request.tests.relay_fixtures import (
     make_head,
     make_lost_connection,
@@ -203,3 +206,46 @@
     assert answer.is_broken and not answer.is_finished
     assert answer.body == b"id: 1\ndata: a\n\n"
     assert calls.closed == 1
+
+
+def make_dribble(seconds, data=b"x"):
+    """Return a script that sends a few bytes without an event each 0.1 s."""
+    return [item for _ in range(int(seconds / 0.1)) for item in (0.1, data)]
+
+
+@pytest.mark.parametrize("data", [b"x", b"", b"id: 2\nda"])
+async def test_stalled_stream_that_sends_bytes_now_and_then_goes_on_elsewhere(data):
+    route = make_route(ExecutionRule.STREAM, is_resumable=True, timeout_s=8.0)
+    stalled = [make_head(), b"id: 1\n\n", *make_dribble(6.0, data)]
+    whole = [make_head(), b"id: 2\n\n", None]
+    started_s = asyncio.get_running_loop().time()
+    answer, calls = await relay(route, [stalled, whole], deadline_s=8.0)
+    assert answer.body == b"id: 1\n\nid: 2\n\n"
+    assert answer.is_finished
+    assert calls.sent[1][1] == "1"
+    limit_s = max(MIN_STALL_S, STALL_PAUSE_FACTOR * route.pause_target_s)
+    assert asyncio.get_running_loop().time() - started_s < limit_s + 0.6
+
+
+@pytest.mark.parametrize("is_resumable", [True, False])
+async def test_slow_but_sound_stream_is_never_cut(is_resumable):
+    route = make_route(
+        ExecutionRule.STREAM,
+        is_resumable=is_resumable,
+        pause_target_s=1.0,
+        timeout_s=8.0,
+    )
+    events = [b"id: %d\n\n" % number for number in range(4)]
+    slow = [make_head(), *[item for event in events for item in (0.9, event)], None]
+    answer, calls = await relay(route, [slow], deadline_s=8.0)
+    assert answer.body == b"".join(events)
+    assert answer.is_finished and len(calls.sent) == 1
+
+
+async def test_stalled_stream_that_cannot_resume_ends_at_its_deadline():
+    route = make_route(ExecutionRule.STREAM, timeout_s=1.5)
+    stalled = [make_head(), b"id: 1\n\n", *make_dribble(6.0)]
+    started_s = asyncio.get_running_loop().time()
+    answer, calls = await relay(route, [stalled])
+    assert answer.is_broken and len(calls.sent) == 1
+    assert asyncio.get_running_loop().time() - started_s < 1.8
