Answer requests that were accepted just before or during a stop

Cause: in a planned stop, the first answer on a connection said Connection: close and the requests read behind it were dropped; a connection that had just opened was closed before its first request came; one accepted in the pass of the loop that ended the drain was not seen. Ruled out: streams and calls in progress and requests on kept connections, which were answered. Change: the last request that was read gets Connection: close; a new connection has 0.5 s for its first request; the drain looks once more after it stops listening, until its end by force. Measured: two of three new tests fail before (three requests read, one answered; a first request 0.1 s after the connection); the one with a silent new connection guards the bound. The last point has no test of its own.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -17,6 +17,8 @@
 __all__ = ["CallerConnection", "CallerGoneError", "HttpRequest"]
 
 # Writing pauses while more than this is buffered for a caller that reads too slowly.
+# During a shutdown, a new connection stays open this long for its first request.
+FIRST_REQUEST_GRACE_S = 0.5
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 # Reading pauses while more requests than this are queued.
 MAX_PIPELINED_REQUESTS = 8
@@ -86,6 +88,8 @@
         self._is_response_started = False
         self._must_close = False
         self._is_handling = False
+        self._opened_s = 0.0
+        self._has_received = False
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -102,6 +106,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task and the idle timeout of the connection."""
         self._transport = transport
+        self._opened_s = asyncio.get_running_loop().time()
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
@@ -109,6 +114,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed received bytes to the parser, and reject malformed input."""
+        self._has_received = True
         if self._is_input_rejected:
             return
         if not self._receive_started_s:
@@ -305,7 +311,7 @@
         :param length_bytes: length of the body, ``None`` for chunked encoding.
         :raises CallerGoneError: if the caller closed the connection.
         """
-        if self._policy.is_shutting_down:
+        if self._policy.is_shutting_down and not self._requests:
             self._must_close = True
         lines = [f"HTTP/1.1 {status} {reason}\r\n".encode("latin-1")]
         lines += [b"%b: %b\r\n" % field for field in headers]
@@ -348,8 +354,15 @@
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or handled."""
-        if not self.is_busy and self._transport is not None:
+        """Close the connection if no request is being read or handled.
+
+        A caller that has just connected is given time to send its first request.
+        """
+        now_s = asyncio.get_running_loop().time()
+        may_still_send = (
+            not self._has_received and now_s - self._opened_s < FIRST_REQUEST_GRACE_S
+        )
+        if not self.is_busy and not may_still_send and self._transport is not None:
             self._transport.close()
 
     def _write(self, data: bytes) -> None:
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -163,3 +163,44 @@
     await asyncio.sleep(0.5)
     writer.write(b"i")
     assert (await read_until_closed(reader)).endswith(b"hi")
+
+
+async def test_requests_that_were_read_before_a_shutdown_are_all_answered():
+    server = CallerServer()
+    server.may_respond = asyncio.Event()
+    reader, writer = await server.start()
+    for number in range(3):
+        writer.write(
+            b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n%d"
+            % (number, number)
+        )
+    await asyncio.sleep(0.05)
+    server.policy.is_shutting_down = True
+    server.may_respond.set()
+    received = await read_until_closed(reader)
+    assert received.count(b"HTTP/1.1 200 OK") == 3
+    assert received.count(b"Connection: close") == 1
+    assert received.endswith(b"\r\n\r\n2")
+
+
+async def test_new_connection_may_send_its_first_request_during_a_shutdown():
+    server = CallerServer()
+    reader, writer = await server.start()
+    server.policy.is_shutting_down = True
+    await asyncio.sleep(0.1)
+    for connection in list(server.connections):
+        connection.close_if_idle()
+    writer.write(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi")
+    assert (await read_until_closed(reader)).endswith(b"\r\n\r\nhi")
+
+
+async def test_new_connection_without_a_request_is_closed_during_a_shutdown():
+    server = CallerServer()
+    reader, _ = await server.start()
+    server.policy.is_shutting_down = True
+    async with asyncio.timeout(2):
+        while server.connections:
+            for connection in list(server.connections):
+                connection.close_if_idle()
+            await asyncio.sleep(0.05)
+    assert await reader.read() == b""
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -358,6 +358,12 @@
                 self._stop_listening()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self._stop_listening()
+        # Connections that were accepted last are known from the next pass of the loop.
+        await asyncio.sleep(0)
+        while self._caller_connections and loop.time() < end_s:
+            for connection in list(self._caller_connections):
+                connection.close_if_idle()
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     def _stop_listening(self) -> None:
         for listener in self._listeners:
