Back off from a store that is away, but for the routers that watch for all

Ruled out: the calm rate (two watchers), the addresses' lease. Change: the pause doubles to 1.5 s, with a quarter of jitter, at all routers but the two that watch the list; these tell the others when the store is back.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -131,6 +131,7 @@
             settings.link_mbps >= MIN_FAST_LINK_MBPS,
         )
         self._server_watcher.is_store_watcher = self._peers.is_watcher
+        self._configuration_watcher.is_store_watcher = self._peers.is_watcher
         self._peers.add_addresses(list(settings.seed_ips))
         self._discovery = make_router_discovery(
             self._store,
--- a/bilberryspring/platform/store_watchers.py
+++ b/bilberryspring/platform/store_watchers.py
@@ -1,6 +1,7 @@
 """Watch the operator's configuration and the list of backend servers in the store."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Iterable
 
@@ -29,6 +30,9 @@
 SERVER_WATCH_PAUSE_S = 0.35
 SERVER_WATCH_WAIT_S = 1.0
 STORE_RETRY_DELAY_S = 0.15
+# Routers that watch for all others retry without a backoff. The others hear from them
+# when the store is back; without a backoff, their calls would grow with the fleet.
+MAX_RETRY_DELAY_S = 1.5
 # Servers whose entries expired during an outage of the store write them again within
 # about two seconds of its recovery. A server that left during the outage must receive
 # no requests after that.
@@ -60,6 +64,7 @@
     report_availability: Callable[[bool], None],
     may_skip_watching: Callable[[], bool] = lambda: False,
     needs_full_list: Callable[[], bool] = lambda: False,
+    retries_steadily: Callable[[], bool] = lambda: True,
 ) -> None:
     """Keep a view of all keys with a prefix up to date, until cancelled.
 
@@ -78,8 +83,11 @@
     :param needs_full_list: returns true if the view was replaced by another router's
         since the last call. Changes since the last revision known here could then
         replace newer items by older ones.
+    :param retries_steadily: returns true if failed calls are repeated without a
+        backoff.
     """
     revision = None
+    failures = 0
     while True:
         if may_skip_watching():
             await asyncio.sleep(PEER_LIST_POLL_S)
@@ -89,6 +97,7 @@
         if revision is None:
             result = await store.list_prefix(prefix)
             if not isinstance(result, Failure):
+                failures = 0
                 report_availability(True)
                 replace_all(result.items)
                 revision = result.revision
@@ -102,6 +111,7 @@
                 revision = None
                 continue
             if not isinstance(result, Failure):
+                failures = 0
                 report_availability(True)
                 for item in result.items:
                     apply_change(item)
@@ -115,7 +125,17 @@
             dependency=f"store {prefix}",
             reason=result.reason,
         )
-        await asyncio.sleep(STORE_RETRY_DELAY_S)
+        failures = 1 if retries_steadily() else failures + 1
+        await asyncio.sleep(_draw_retry_delay_s(failures))
+
+
+def _draw_retry_delay_s(failures: int) -> float:
+    """Draw the pause before a failed call of the store is repeated.
+
+    :param failures: number of calls that failed in succession.
+    """
+    delay_s = min(STORE_RETRY_DELAY_S * 2.0 ** (failures - 1), MAX_RETRY_DELAY_S)
+    return delay_s * random.uniform(0.75, 1.25)
 
 
 class ConfigurationWatcher:
@@ -131,6 +151,7 @@
         self._store = store
         self._apply_table = apply_table
         self._version = -1
+        self.is_store_watcher: Callable[[], bool] = lambda: True
         self.entry: SnapshotEntry | None = None
 
     def apply_entry(self, entry: SnapshotEntry) -> None:
@@ -150,6 +171,7 @@
             replace_all=self._apply_items,
             apply_change=self._apply_item,
             report_availability=lambda _: None,
+            retries_steadily=lambda: self.is_store_watcher(),
         )
 
     def _apply_items(self, items: Iterable[StoreItem]) -> None:
@@ -268,6 +290,7 @@
             report_availability=self._record_availability,
             may_skip_watching=self.may_skip_watching,
             needs_full_list=self._consume_needs_full_list,
+            retries_steadily=lambda: self.is_store_watcher(),
         )
 
     def _consume_needs_full_list(self) -> bool:
--- a/bilberryspring/platform/tests/test_store_watchers.py
+++ b/bilberryspring/platform/tests/test_store_watchers.py
@@ -6,13 +6,15 @@
 
 import asyncio
 import json
+import random
 import time
 
 import pytest
 from aiohttp import web
 
 from bilberryspring.connection.router_reports import SnapshotEntry
-from bilberryspring.platform.metadata_messages import StoreItem
+from bilberryspring.load.virtual_clock import run_on_virtual_clock
+from bilberryspring.platform.metadata_messages import StoreItem, StoreListing
 from bilberryspring.platform.metadata_store import make_metadata_store
 from bilberryspring.platform.store_watchers import (
     ConfigurationWatcher,
@@ -24,6 +26,7 @@
     StoreStandin,
 )
 from bilberryspring.process.server_table import make_server_table
+from bilberryspring.request.errors import ErrorKind, make_failure
 
 SERVER_ENTRY = ServerStandin().make_entry()
 
@@ -262,3 +265,51 @@
 async def test_item_of_another_key_is_not_applied_as_configuration(harness):
     harness.configuration_watcher._apply_item(StoreItem("op/configuration", b"{}", 3))
     assert not harness.applied_tables
+
+
+class FailingStore:
+    """A store whose calls fail until it is back; counts the calls."""
+
+    def __init__(self):
+        self.calls = 0
+        self.is_back = False
+
+    async def list_prefix(self, prefix):
+        self.calls += 1
+        await asyncio.sleep(0)
+        if self.is_back:
+            return StoreListing((), 1)
+        return make_failure(ErrorKind.OVERLOADED, "the store is away")
+
+    async def watch_prefix(self, prefix, revision, max_wait_s):
+        await asyncio.sleep(max_wait_s)
+        return StoreListing((), revision)
+
+
+async def _follow_through_outage(outage_s, is_store_watcher):
+    store = FailingStore()
+    watcher = ConfigurationWatcher(store, lambda _: None)
+    watcher.is_store_watcher = lambda: is_store_watcher
+    following = asyncio.create_task(watcher.run())
+    await asyncio.sleep(outage_s)
+    calls, store.is_back = store.calls, True
+    back_s = asyncio.get_running_loop().time()
+    while store.calls == calls:
+        await asyncio.sleep(0.01)
+    following.cancel()
+    await asyncio.gather(following, return_exceptions=True)
+    return calls, asyncio.get_running_loop().time() - back_s
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_calls_in_an_outage_grow_little_with_the_number_of_routers(seed):
+    random.seed(seed)
+    calls, until_called_s = run_on_virtual_clock(_follow_through_outage(10.0, False))
+    assert calls <= 14
+    assert until_called_s <= 2.0
+
+
+def test_routers_that_watch_for_all_notice_the_end_of_an_outage_at_once():
+    calls, until_called_s = run_on_virtual_clock(_follow_through_outage(10.0, True))
+    assert calls > 40
+    assert until_called_s <= 0.25
