Place chats whose home is free at once, past those that wait for theirs

Cause: a chat that waited for its home stood at the head of its router's queue, so requests of the same rank behind it waited up to 30 ms for the next pass although their homes had room. Ruled out: a second queue for each home, which the scan makes needless. Change: at engines a new request is tried at once after those that wait; a pass tries eight waiting requests instead of sixteen.

--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -64,7 +64,7 @@
 # capacity also becomes free through requests of the other routers.
 REDISPATCH_INTERVAL_S = 0.03
 # Waiting requests that are tried at a time; the others wait behind these.
-MAX_DISPATCH_SCAN = 16
+MAX_DISPATCH_SCAN = 8
 # Upper bound of the random factor on the predicted wait that spreads the retries of
 # callers which are refused together.
 RETRY_AFTER_SPREAD = 1.5
@@ -135,7 +135,12 @@
         refusal = self._shed_load(request, pool, priority_key)
         if refusal is not None:
             return refusal
-        if not queue or priority_key < queue[0].sort_key[:3]:
+        if queue and pool.engine is not None:
+            # Requests that wait for their home engines don't hold up others, but those
+            # that wait for any engine come first.
+            self.dispatch_waiting(pool.name)
+        may_pass = not queue or priority_key < queue[0].sort_key[:3]
+        if may_pass or pool.engine is not None:
             found = self._try_reserve(request, pool)
             if isinstance(found, Reservation):
                 return found
