--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -88,6 +88,7 @@
         self._is_response_started = False
         self._must_close = False
         self._is_handling = False
+        self._is_response_aborted = False
         self._opened_s = 0.0
         self._has_received = False
         self._reset_message()
@@ -264,9 +265,23 @@
             log_event("handler_failed", level="ERROR", error=repr(error))
             self.abort_response()
         finally:
+            self._log_unanswered()
             if self._transport is not None and not self._transport.is_closing():
                 self._transport.close()
 
+    def _log_unanswered(self) -> None:
+        """Log requests that were read and get no complete response."""
+        is_cut = self._is_handling or self._is_response_aborted
+        if self._is_disconnected or not (is_cut or self._requests):
+            return
+        log_event(
+            "requests_unanswered",
+            level="WARNING",
+            requests=len(self._requests) + is_cut,
+            is_begun=is_cut and self._is_response_started,
+            is_shutting_down=self._policy.is_shutting_down,
+        )
+
     def _set_timer(self, delay_s: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -350,6 +365,7 @@
     def abort_response(self) -> None:
         """Abort the connection, so that the caller detects an incomplete response."""
         self._must_close = True
+        self._is_response_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
