--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -88,6 +88,7 @@
     "request_ended": Event(_ROUTINE, "an agent has finished a request"),
     "request_answered": Event(_ROUTINE, "a router has finished a request"),
     "request_failed": Event(_FAILED, "an exception ended a request"),
+    "requests_unanswered": Event(_FAILED, "a connection ended with requests open"),
     "request_abandoned": Event(_FAILED, "no router waits for a request any longer"),
     "engine_stream_silent": Event(_FAILED, "a silent engine stream was abandoned"),
     "service_call_silent": Event(_FAILED, "a silent service call gets a second try"),
