Keep a silent server's response until another server has taken over

Cause: the relay closed a live exchange as soon as its server had been silent for 0.6 s, or its stream had stalled, and only then looked for another server. If none was to be had (no untried server, no capacity, no budget), or the other one was unreachable, refused or failed, a begun stream was aborted and another request got 502, although the first server would have gone on. The same happened after a pause of the router itself: timers run before the sockets are read, so all servers looked silent.

Class of fault: giving up what one has before its replacement is secured.

Change: the request is reserved and sent elsewhere while the first exchange stays open. It is closed once the other server has begun a response that can be relayed, or has not refused for 0.3 s, so that two servers never work on it for longer. Otherwise the relay reads on. A check that comes late does not count as silence. At most once, the number of servers of a route and the retry budget are unchanged: only repeatable requests move, each move is spent from the budget before it is sent.

--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -173,6 +173,28 @@
                 self._discard_waiting(waiting, queue)
         return found
 
+    def acquire_now(
+        self, request: IncomingRequest, pool: PoolLimits
+    ) -> Reservation | Failure:
+        """Reserve capacity on a server that is not avoided, without waiting.
+
+        :param request: the request; servers where it was tried already are excluded.
+        :param pool: pool that serves the request.
+        :returns: as :meth:`acquire`.
+        """
+        queue = self._waiting.get(pool.name)
+        if queue and pool.engine is None:
+            if self._make_priority_key(request, pool) > queue[0].sort_key[:3]:
+                reason = "more urgent requests wait for capacity"
+                return make_failure(ErrorKind.OVERLOADED, reason)
+        found = self._try_reserve(request, pool)
+        if isinstance(found, Reservation):
+            if found.record.is_avoided(asyncio.get_running_loop().time()):
+                self.release(found)
+                reason = "every server that is left to try is avoided"
+                return make_failure(ErrorKind.NO_INSTANCE, reason)
+        return found
+
     def _discard_waiting(
         self, waiting: _WaitingRequest, queue: list[_WaitingRequest]
     ) -> None:
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -37,12 +37,17 @@
 )
 from bilberryspring.request.fleet_budget import FleetRetryBudget
 from bilberryspring.request.reservations import Reservation
-from bilberryspring.request.response_progress import ResponseProgress
+from bilberryspring.request.response_progress import Attempt, ResponseProgress
 
 __all__ = ["Relay", "make_relay"]
 
 # How often a pending read checks whether its server has become silent.
 SILENCE_CHECK_INTERVAL_S = 0.25
+# A check that comes later than this shows that the event loop was held up. It runs
+# before what the server sent meanwhile is read.
+MAX_CHECK_DELAY_S = 0.1
+# Longest time for which two servers work on a request while one takes over.
+MAX_OVERLAP_S = 0.3
 MAX_BUFFERED_BODY_BYTES = 8_000_000
 # A stream without a complete event for this multiple of its route's pause target is
 # stalled. Prefills of other prompts and preemptions make some pauses long.
@@ -93,7 +98,7 @@
         """
         arrived_s = request.received_s
         must_end_s = min(request.deadline_s, arrived_s + request.route.timeout_s)
-        progress = ResponseProgress(answer, make_event_splitter())
+        progress = ResponseProgress(answer, make_event_splitter(), pool, must_end_s)
         outcome: Failure | None = make_failure(ErrorKind.DEADLINE_EXCEEDED)
         try:
             async with asyncio.timeout(max(must_end_s - read_boot_time_s(), 0)):
@@ -104,6 +109,9 @@
                     ErrorKind.OVERLOADED,
                     "no server had free capacity before the deadline",
                 )
+        finally:
+            if progress.replacement is not None:
+                self._end_attempt(progress.replacement)
         now_s = read_boot_time_s()
         self._observe(
             RequestObservation(
@@ -153,12 +161,16 @@
             crash_verdict = self._crashes.check_quarantine(digest)
             if isinstance(crash_verdict, Failure):
                 return last_failure or crash_verdict
-            reservation = await self._dispatcher.acquire(request, pool, must_end_s)
+            replacement = progress.replacement
+            if replacement is not None:
+                reservation = replacement.reservation
+            else:
+                reservation = await self._dispatcher.acquire(request, pool, must_end_s)
             if isinstance(reservation, Failure):
                 return last_failure or reservation
             if last_failure is None:
                 self._budget.record_first_try()
-            elif not self._budget.spend():
+            elif replacement is None and not self._budget.spend():
                 self._dispatcher.release(reservation)
                 log_event(
                     "try_failed",
@@ -168,7 +180,7 @@
                     kind=last_failure.kind,
                 )
                 return last_failure
-            result = await self._try_server(request, reservation, progress, must_end_s)
+            result = await self._try_server(request, reservation, progress)
             if not isinstance(result, Failure):
                 self._crashes.clear(digest)
                 return result
@@ -197,6 +209,8 @@
                 or last_failure.outcome is Outcome.NOT_RUN
             ):
                 last_failure = result
+            if progress.replacement is not None:
+                continue
             if may_have_run and not request.route.is_repeatable:
                 return last_failure
             if request.attempts >= request.route.max_servers and may_have_run:
@@ -218,72 +232,96 @@
             crash_id = f"{server.server_id}/{server.started_at_ms}"
             self._crashes.add_crashes(digest, {crash_id})
 
-    async def _try_server(
+    async def _send(
         self,
         request: IncomingRequest,
         reservation: Reservation,
         progress: ResponseProgress,
-        must_end_s: float,
-    ) -> Failure | None:
+    ) -> Attempt | Failure:
+        """Send a request to the server that is reserved for it.
+
+        The reservation is released if nothing was sent.
+        """
         record, loop = reservation.record, asyncio.get_running_loop()
-        stream_token = object()
-        sent_s = loop.time()
-        exchange = None
-        taken_s = None
+        attempt = None
         try:
             if progress.splitter.last_id is not None:
                 request.resume_after = progress.splitter.last_id
+            sent_s = loop.time()
             exchange = await self._calls.begin(
-                record.server, request, must_end_s - read_boot_time_s()
+                record.server, request, progress.must_end_s - read_boot_time_s()
             )
             if isinstance(exchange, Failure):
                 is_down = exchange.kind is ErrorKind.BACKEND_UNREACHABLE
                 record.record_failure(exchange.reason, loop.time(), is_down=is_down)
                 return exchange
-            request.attempts += 1
-            record.record_sent(stream_token, request.prompt, loop.time())
-            log_event(
-                "request_sent",
-                request_id=request.request_id,
-                server=record.server.server_id,
-                requests=record.requests,
-                peers=record.peer_load.requests,
-                slowness=record.slowness,
-                expected_s=reservation.expected_s,
-                prompt_tokens=reservation.prompt_tokens,
-            )
-            head = await self._read_unless_silent(
-                exchange.read_head, request, reservation
+            attempt = Attempt(reservation, exchange, sent_s)
+        finally:
+            if attempt is None:
+                self._dispatcher.release(reservation)
+        request.attempts += 1
+        record.record_sent(attempt, request.prompt, loop.time())
+        log_event(
+            "request_sent",
+            request_id=request.request_id,
+            server=record.server.server_id,
+            requests=record.requests,
+            peers=record.peer_load.requests,
+            slowness=record.slowness,
+            expected_s=reservation.expected_s,
+            prompt_tokens=reservation.prompt_tokens,
+        )
+        return attempt
+
+    def _end_attempt(self, attempt: Attempt, taken_s: float | None = None) -> None:
+        attempt.reservation.record.record_ended(attempt)
+        attempt.exchange.close()
+        self._dispatcher.release(attempt.reservation, taken_s)
+
+    async def _try_server(
+        self,
+        request: IncomingRequest,
+        reservation: Reservation,
+        progress: ResponseProgress,
+    ) -> Failure | None:
+        attempt, progress.replacement = progress.replacement, None
+        if attempt is None:
+            attempt = await self._send(request, reservation, progress)
+        if isinstance(attempt, Failure):
+            return attempt
+        record, loop = reservation.record, asyncio.get_running_loop()
+        exchange = attempt.exchange
+        taken_s = None
+        try:
+            head = attempt.head or await self._read_unless_silent(
+                exchange.read_head, request, reservation, progress
             )
             if isinstance(head, Failure):
                 record.record_failure(head.reason, loop.time())
                 return head
-            record.record_response(stream_token, loop.time())
+            record.record_response(attempt, loop.time())
             record.record_response_time(
-                loop.time() - sent_s, reservation.expected_s, loop.time()
+                loop.time() - attempt.sent_s, reservation.expected_s, loop.time()
             )
             refusal = self._check_head(head, request, reservation, progress)
             if refusal is not None:
                 return refusal
             if request.route.rule is ExecutionRule.STREAM and head.is_success:
                 failure = await self._relay_stream(
-                    exchange, head, request, reservation, progress, stream_token
+                    exchange, head, request, reservation, progress, attempt
                 )
             else:
                 failure = await self._relay_buffered(
-                    exchange, head, request, reservation, progress, stream_token
+                    exchange, head, request, reservation, progress, attempt
                 )
             if failure is None:
                 record.record_success()
-                taken_s = loop.time() - sent_s
+                taken_s = loop.time() - attempt.sent_s
             else:
                 record.record_failure(failure.reason, loop.time())
             return failure
         finally:
-            record.record_ended(stream_token)
-            if exchange is not None and not isinstance(exchange, Failure):
-                exchange.close()
-            self._dispatcher.release(reservation, taken_s)
+            self._end_attempt(attempt, taken_s)
 
     def _check_head(
         self,
@@ -333,7 +371,7 @@
         size_bytes = 0
         while True:
             chunk = await self._read_unless_silent(
-                exchange.read_chunk, request, reservation
+                exchange.read_chunk, request, reservation, progress
             )
             if isinstance(chunk, Failure):
                 return chunk
@@ -367,7 +405,7 @@
         loop = asyncio.get_running_loop()
         while True:
             chunk = await self._read_unless_silent(
-                exchange.read_chunk, request, reservation, stream_token
+                exchange.read_chunk, request, reservation, progress, stream_token
             )
             if isinstance(chunk, Failure):
                 return chunk
@@ -381,10 +419,6 @@
             events = splitter.feed(chunk)
             if events:
                 reservation.record.record_response(stream_token, loop.time())
-            else:
-                stall = self._find_stall(request, reservation.record, stream_token)
-                if stall is not None:
-                    return stall
             await answer.write(events)
             if splitter.is_event_too_long:
                 reason = f"an event of more than {MAX_EVENT_BYTES} bytes"
@@ -400,47 +434,129 @@
         now_s = asyncio.get_running_loop().time()
         pause_s = now_s - record.awaited_since_s[stream_token]
         limit_s = max(MIN_STALL_S, STALL_PAUSE_FACTOR * request.route.pause_target_s)
-        may_retry = (
-            request.route.is_repeatable and request.attempts < request.route.max_servers
-        )
-        if pause_s < limit_s or not may_retry or not self._budget.can_spend():
+        if pause_s < limit_s:
             return None
         reason = f"{record.server.server_id} sent no event for {pause_s:.1f} s"
         return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
+    def _find_silence(
+        self, request: IncomingRequest, record: ServerRecord, is_stream: bool
+    ) -> Failure | None:
+        """Return why a response is not expected soon, ``None`` if it may be."""
+        silence_s = SILENCE_TIMEOUT_S
+        if is_stream:
+            pause_s = SILENT_PAUSE_FACTOR * request.route.pause_target_s
+            silence_s = max(silence_s, pause_s)
+        if not record.is_silent(asyncio.get_running_loop().time(), silence_s):
+            return None
+        reason = f"{record.server.server_id} is silent"
+        return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
     async def _read_unless_silent(
         self,
         read,
         request: IncomingRequest,
         reservation: Reservation,
+        progress: ResponseProgress,
         stream_token: object | None = None,
     ):
         """Read a part of a response.
 
-        The read fails if the request may still be retried, and the server is silent or
-        its stream, given by its token, is stalled.
+        If the server is silent, or its stream, given by its token, is stalled, the
+        request is sent to another server. The read fails once that one has taken over
+        and not before, since a silent server may go on.
         """
         record, loop = reservation.record, asyncio.get_running_loop()
-        if not request.route.is_repeatable:
-            return await read()
-        while True:
+        is_stream = stream_token is not None
+        stall = self._find_stall(request, record, stream_token) if is_stream else None
+        if stall is not None and await self._replace(request, reservation, progress):
+            return stall
+        while (
+            request.route.is_repeatable and request.attempts < request.route.max_servers
+        ):
+            checked_s = loop.time()
             try:
                 async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
                     return await read()
             except TimeoutError:
-                now_s = loop.time()
-                may_retry = request.attempts < request.route.max_servers
-                silence_s = SILENCE_TIMEOUT_S
-                if stream_token is not None:
-                    stall = self._find_stall(request, record, stream_token)
-                    if stall is not None:
-                        return stall
-                    pause_s = SILENT_PAUSE_FACTOR * request.route.pause_target_s
-                    silence_s = max(silence_s, pause_s)
-                is_silent = record.is_silent(now_s, silence_s)
-                if may_retry and is_silent and self._budget.can_spend():
-                    reason = f"{record.server.server_id} is silent"
-                    return make_failure(ErrorKind.BACKEND_FAILED, reason)
+                delay_s = loop.time() - checked_s - SILENCE_CHECK_INTERVAL_S
+            if delay_s > MAX_CHECK_DELAY_S:
+                continue
+            failure = self._find_silence(request, record, is_stream)
+            if failure is None and is_stream:
+                failure = self._find_stall(request, record, stream_token)
+            if failure is not None and await self._replace(
+                request, reservation, progress
+            ):
+                return failure
+        return await read()
+
+    async def _replace(
+        self,
+        request: IncomingRequest,
+        reservation: Reservation,
+        progress: ResponseProgress,
+    ) -> bool:
+        """Send a request to another server while its present one still works on it.
+
+        :returns: whether the other server has taken over: it has begun a response that
+            can be relayed, or has not refused the request for as long as both may work
+            on it.
+        """
+        may_retry = (
+            request.route.is_repeatable and request.attempts < request.route.max_servers
+        )
+        if not may_retry or not self._budget.can_spend():
+            return False
+        request.tried_server_ids.add(reservation.record.server.server_id)
+        spare = self._dispatcher.acquire_now(request, progress.pool)
+        if isinstance(spare, Failure):
+            return False
+        self._budget.spend()
+        request.tried_server_ids.add(spare.record.server.server_id)
+        attempt = await self._send(request, spare, progress)
+        failure = attempt if isinstance(attempt, Failure) else None
+        if isinstance(attempt, Attempt):
+            progress.replacement = attempt
+            failure = await self._read_replacement_head(request, attempt, progress)
+        if failure is None:
+            return True
+        log_event(
+            "try_failed",
+            level="WARNING",
+            request_id=request.request_id,
+            server=spare.record.server.server_id,
+            kind=failure.kind,
+            outcome=failure.outcome,
+            reason=failure.reason,
+            tries=request.attempts,
+            is_replacement=True,
+        )
+        return False
+
+    async def _read_replacement_head(
+        self, request: IncomingRequest, attempt: Attempt, progress: ResponseProgress
+    ) -> Failure | None:
+        """Read the head of a replacement's response, and end one that can't take over.
+
+        :returns: why it can't take over, ``None`` if it does.
+        """
+        record = attempt.reservation.record
+        try:
+            async with asyncio.timeout(MAX_OVERLAP_S):
+                head = await attempt.exchange.read_head()
+        except TimeoutError:
+            return None
+        if isinstance(head, Failure):
+            record.record_failure(head.reason, asyncio.get_running_loop().time())
+            failure = head
+        else:
+            failure = self._check_head(head, request, attempt.reservation, progress)
+            attempt.head = head
+        if failure is not None:
+            progress.replacement = None
+            self._end_attempt(attempt)
+        return failure
 
 
 def _digest_request(request: IncomingRequest) -> str:
--- a/bilberryspring/request/response_progress.py
+++ b/bilberryspring/request/response_progress.py
@@ -2,10 +2,32 @@
 
 from dataclasses import dataclass
 
-from bilberryspring.capability.backend_calls import BackendResponseHead, CallerResponse
+from bilberryspring.capability.backend_calls import (
+    BackendResponseHead,
+    CallerResponse,
+    Exchange,
+)
+from bilberryspring.capability.routing import PoolLimits
 from bilberryspring.request.event_splitter import EventSplitter
+from bilberryspring.request.reservations import Reservation
 
-__all__ = ["ResponseProgress"]
+__all__ = ["Attempt", "ResponseProgress"]
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A request that was sent to a server; its identity is its token in the record.
+
+    :param reservation: capacity reserved on the server.
+    :param exchange: the request and its response.
+    :param sent_s: monotonic time before it was sent.
+    :param head: head of the response; ``None`` until it was read.
+    """
+
+    reservation: Reservation
+    exchange: Exchange
+    sent_s: float
+    head: BackendResponseHead | None = None
 
 
 @dataclass(slots=True)
@@ -14,6 +36,10 @@
 
     :param answer: response to the caller.
     :param splitter: splitter of a streamed response, with the id of its last event.
+    :param pool: pool that serves the request.
+    :param must_end_s: boot time by which the response must end.
+    :param replacement: attempt at another server that has taken over from the current
+        one and is not relayed yet; ``None`` if there is none.
     :param time_to_first_byte_s: time from reading the request to the head of the
         response, in seconds; ``None`` before it.
     :param status: HTTP status code sent to the caller; zero before it.
@@ -21,6 +47,9 @@
 
     answer: CallerResponse
     splitter: EventSplitter
+    pool: PoolLimits
+    must_end_s: float
+    replacement: Attempt | None = None
     time_to_first_byte_s: float | None = None
     status: int = 0
 
--- a/bilberryspring/request/tests/relay_fixtures.py
+++ b/bilberryspring/request/tests/relay_fixtures.py
@@ -114,6 +114,7 @@
 
     def close(self):
         self.calls.closed += 1
+        self.calls.closed_at_s.append(asyncio.get_running_loop().time())
 
 
 @dataclass
@@ -122,13 +123,17 @@
 
     :param scripts: a list of items for each exchange, or a failure to connect.
     :param sent: server, resume position and rounded time left of each request sent.
+    :param sent_at_s: loop time at which each of these was sent.
     :param closed: number of exchanges that were closed.
+    :param closed_at_s: loop time at which each of these was closed.
     :param down: ids of the servers that are down.
     """
 
     scripts: list
     sent: list = field(default_factory=list)
+    sent_at_s: list = field(default_factory=list)
     closed: int = 0
+    closed_at_s: list = field(default_factory=list)
     down: set = field(default_factory=set)
 
     async def is_down(self, server):
@@ -142,6 +147,7 @@
         self.sent.append(
             (server.server_id, request.resume_after, round(time_left_s, 1))
         )
+        self.sent_at_s.append(asyncio.get_running_loop().time())
         return ScriptedExchange(list(script), self)
 
 
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 
 import pytest
 
@@ -249,3 +250,73 @@
     answer, calls = await relay(route, [stalled])
     assert answer.is_broken and len(calls.sent) == 1
     assert asyncio.get_running_loop().time() - started_s < 1.8
+
+
+# A server that is silent for a second and then goes on.
+PAUSED_STREAM = [make_head(), b"id: 1\n\n", 1.1, b"id: 2\n\n", None]
+REFUSED = [make_head(503, was_not_run=True, is_own=False)]
+
+
+@pytest.mark.parametrize(
+    ("servers", "others", "extra"),
+    [
+        (("a",), [], 20),
+        (("a", "b"), [UNREACHABLE], 20),
+        (("a", "b"), [REFUSED], 20),
+        (("a", "b"), [[make_head(500), b"why", None]], 20),
+        (("a", "b"), [[make_lost_connection()]], 20),
+        (("a", "b"), [], 0),
+    ],
+    ids=["no-other", "unreachable", "refused", "failed", "lost", "no-budget"],
+)
+async def test_silence_does_not_end_a_stream_that_no_other_server_takes_over(
+    servers, others, extra
+):
+    answer, calls = await relay(
+        RESUMABLE_ROUTE, [PAUSED_STREAM, *others], servers=servers, extra=extra
+    )
+    assert answer.body == b"id: 1\n\nid: 2\n\n"
+    assert answer.is_finished and not answer.is_broken
+    assert calls.closed == len(calls.sent)
+
+
+@pytest.mark.parametrize(
+    ("servers", "others"),
+    [(("a",), []), (("a", "b"), [UNREACHABLE]), (("a", "b"), [REFUSED])],
+    ids=["no-other", "unreachable", "refused"],
+)
+async def test_silence_does_not_fail_a_request_that_no_other_server_takes_over(
+    servers, others
+):
+    answer, calls = await relay(
+        REPEATABLE_ROUTE, [[1.1, *COMPLETE_RESPONSE], *others], servers=servers
+    )
+    assert answer.body == b"answer" and answer.is_finished
+    assert calls.closed == len(calls.sent)
+
+
+async def test_stall_does_not_end_a_stream_that_no_other_server_takes_over():
+    stalled = [make_head(), b"id: 1\n\n", *make_dribble(1.6, b""), b"id: 2\n\n", None]
+    for servers, others in ((("a",), []), (("a", "b"), [REFUSED])):
+        answer, _ = await relay(RESUMABLE_ROUTE, [stalled, *others], servers=servers)
+        assert answer.body == b"id: 1\n\nid: 2\n\n"
+        assert answer.is_finished and not answer.is_broken
+
+
+async def test_stream_is_not_run_by_two_servers_after_one_has_taken_over():
+    route = make_route(ExecutionRule.STREAM, is_resumable=True, timeout_s=8.0)
+    silent = [make_head(), b"id: 1\n\n"]
+    slow = [1.5, make_head(), b"id: 2\n\n", None]
+    answer, calls = await relay(route, [silent, slow], deadline_s=8.0)
+    assert answer.body == b"id: 1\n\nid: 2\n\n" and answer.is_finished
+    assert calls.sent[1][1] == "1"
+    assert calls.closed_at_s[0] - calls.sent_at_s[1] < 0.4
+
+
+async def test_pause_of_the_router_does_not_count_as_silence_of_a_server():
+    events = [b"id: %d\n\n" % number for number in range(12)]
+    steady = [make_head(), *[item for event in events for item in (0.1, event)], None]
+    asyncio.get_running_loop().call_later(0.35, time.sleep, 0.8)
+    answer, calls = await relay(RESUMABLE_ROUTE, [steady, COMPLETE_RESPONSE])
+    assert answer.body == b"".join(events) and answer.is_finished
+    assert len(calls.sent) == 1
