Answer a request whose handler raises

Callers saw neither an answer nor a refusal for a whole request, and lost the requests queued behind it on the connection. Cause: an exception of the handler aborted the connection. Evidence: test_request_whose_handler_fails_gets_a_response_and_the_next_one_too on the code before: received b'' and 'requests_unanswered requests=2 is_begun=False'. Change: such a request gets 500, which promises nothing, and the connection goes on; a response that has begun is still aborted.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -246,7 +246,7 @@
                 self._is_response_started = False
                 self._is_handling = True
                 self._must_close = self._must_close or request.closes_connection
-                await self._handle(request, self)
+                await self._handle_or_fail(request)
                 self._is_handling = False
                 if (
                     self._must_close
@@ -261,14 +261,24 @@
                 raise
         except CallerGoneError:
             pass
-        except Exception as error:
-            log_event("handler_failed", level="ERROR", error=repr(error))
-            self.abort_response()
         finally:
             self._log_unanswered()
             if self._transport is not None and not self._transport.is_closing():
                 self._transport.close()
 
+    async def _handle_or_fail(self, request: HttpRequest) -> None:
+        """Handle a request; one whose handler raises still gets a response."""
+        try:
+            await self._handle(request, self)
+        except CallerGoneError:
+            raise
+        except Exception as error:
+            log_event("handler_failed", level="ERROR", error=repr(error))
+            if self._is_response_started:
+                self.abort_response()
+            else:
+                self.start_response(500, "Internal Server Error", [], 0)
+
     def _log_unanswered(self) -> None:
         """Log requests that were read and get no complete response."""
         is_cut = self._is_handling or self._is_response_aborted
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -38,6 +38,8 @@
             except asyncio.CancelledError:
                 self.cancelled_count += 1
                 raise
+        if request.target == b"/defect":
+            raise ValueError("defect of the handler")
         if request.target == b"/broken":
             connection.start_response(200, "OK", [], None)
             await connection.write(b"part")
@@ -204,3 +206,16 @@
                 connection.close_if_idle()
             await asyncio.sleep(0.05)
     assert await reader.read() == b""
+
+
+async def test_request_whose_handler_fails_gets_a_response_and_the_next_one_too():
+    server = CallerServer()
+    reader, writer = await server.start()
+    writer.write(b"GET /defect HTTP/1.1\r\nHost: h\r\n\r\n")
+    writer.write(
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+        b"Connection: close\r\n\r\nhi"
+    )
+    received = await read_until_closed(reader)
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert received.endswith(b"\r\n\r\nhi")
