Answer requests in progress before a drain closes their connections

Callers saw neither an answer nor a refusal when a stopping router came to the end of its grace period: requests that a server still worked on, and those that still waited in the router and could be refused truthfully, ended with a closed connection. Cause: the drain waits for connections to close and then closes what is left; no request knew of the stop. Evidence: test_request_that_outlasts_the_drain_gets_a_response on the code before: ServerDisconnectedError. Change: a stop bounds the time of all requests, those in progress too, 0.2 s before the connections close. What was not sent gets 503, what was sent gets 504, and servers are told the shorter time. A stream that has begun is still broken off.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -34,6 +34,7 @@
     ServerListWatcher,
 )
 from bilberryspring.process.addresses import split_address
+from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
 from bilberryspring.process.result_fields import COMPLETE_RESULT
 from bilberryspring.process.router_metrics import make_router_metrics
@@ -54,8 +55,10 @@
 METRICS_START_DELAY_S = 3.0
 # The load balancer drops a machine after two failed readiness checks, a second apart.
 ROTATION_EXIT_DELAY_S = 2.6
-# Requests in progress end this long before the platform kills the process.
+# Connections are closed this long before the platform kills the process.
 STOP_MARGIN_S = 0.4
+# Requests in progress get their responses this long before that.
+LAST_RESPONSE_MARGIN_S = 0.2
 # The router accepts no new connections in the last seconds of a drain, so that
 # responses in progress can complete.
 LAST_RESPONSES_S = 2.5
@@ -349,6 +352,8 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self._settings.stop_s - STOP_MARGIN_S
         self._caller_policy.is_shutting_down = True
+        until_stop_s = self._settings.stop_s - STOP_MARGIN_S - LAST_RESPONSE_MARGIN_S
+        self._relay.stop_by(read_boot_time_s() + until_stop_s)
         await asyncio.sleep(ROTATION_EXIT_DELAY_S)
         # The load balancer still sends new connections here if few machines of the zone
         # are left.
--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -26,7 +26,7 @@
 front = "{ip}:{port}"
 ready = "{ip}:{ready_port}"
 [bounds]
-graceS = 8
+graceS = {grace_s}
 retryBudgetRatio = 0.2
 budgetExtra = 50
 [platform]
@@ -49,7 +49,7 @@
 class Router:
     """One router process."""
 
-    def __init__(self, tmp_path, store, ip="127.0.0.1", ports=(), seeds=()):
+    def __init__(self, tmp_path, store, ip="127.0.0.1", ports=(), seeds=(), grace_s=8):
         ports = ports or (find_free_port(), find_free_port(), find_free_port())
         self.ip = ip
         self.port, self.ready_port, self.peer_port = ports
@@ -58,6 +58,7 @@
         self.path.write_text(
             SETTINGS_TEMPLATE.format(
                 node=f"front-{ip}",
+                grace_s=grace_s,
                 ip=ip,
                 peer_port=self.peer_port,
                 port=self.port,
@@ -253,6 +254,23 @@
         assert await router.process.wait() == 0
 
 
+async def test_request_that_outlasts_the_drain_gets_a_response(deployment):
+    router = await deployment.add_router(grace_s=3.4)
+    await router.wait_ready()
+    deployment.server.delay_s = 20.0
+    headers = {"Deadline-Ms": "15000"}
+    async with aiohttp.ClientSession() as session:
+        pending = asyncio.create_task(
+            send_request(session, router, "/open/x", key=None, **headers)
+        )
+        await asyncio.sleep(0.3)
+        router.process.send_signal(signal.SIGTERM)
+        status, _, _ = await pending
+    assert status == 504
+    async with asyncio.timeout(5):
+        assert await router.process.wait() == 0
+
+
 async def test_request_of_a_disconnected_caller_is_cancelled(deployment):
     router = await deployment.add_router()
     await router.wait_ready()
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from bilberryspring.capability.backend_calls import (
@@ -85,6 +86,20 @@
         self._crashes = crashes
         self._crash_checks: set[asyncio.Task[None]] = set()
         self._observe = observe
+        self._stop_s = math.inf
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    def stop_by(self, stop_s: float) -> None:
+        """End all requests, those in progress too, by a time.
+
+        :param stop_s: boot time of the end, after which no response can be sent.
+        """
+        self._stop_s = stop_s
+        loop = asyncio.get_running_loop()
+        loop_stop_s = loop.time() + stop_s - read_boot_time_s()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(min(timeout.when(), loop_stop_s))
 
     async def relay(
         self, request: IncomingRequest, pool: PoolLimits, answer: CallerResponse
@@ -97,11 +112,15 @@
         :returns: the failure, ``None`` if the caller got a server's complete response.
         """
         arrived_s = request.received_s
-        must_end_s = min(request.deadline_s, arrived_s + request.route.timeout_s)
+        must_end_s = min(
+            request.deadline_s, arrived_s + request.route.timeout_s, self._stop_s
+        )
         progress = ResponseProgress(answer, make_event_splitter(), pool, must_end_s)
         outcome: Failure | None = make_failure(ErrorKind.DEADLINE_EXCEEDED)
+        timeout = asyncio.timeout(max(must_end_s - read_boot_time_s(), 0))
         try:
-            async with asyncio.timeout(max(must_end_s - read_boot_time_s(), 0)):
+            async with timeout:
+                self._timeouts.add(timeout)
                 outcome = await self._try_servers(request, pool, progress, must_end_s)
         except TimeoutError:
             if request.attempts == 0:
@@ -110,6 +129,7 @@
                     "no server had free capacity before the deadline",
                 )
         finally:
+            self._timeouts.discard(timeout)
             if progress.replacement is not None:
                 self._end_attempt(progress.replacement)
         now_s = read_boot_time_s()
