Treat a stream that ends inside an event as broken off

Ruled out: the other ways to break off an answer in the new test of router processes (short length, inside a chunk, no last chunk, inside the status line or the head, no byte at all) never looked complete.

Change: the end of a stream inside an event is a failure of the server. The stream goes on elsewhere where it may, otherwise the caller's connection is aborted before the fragment is written. Line ends after the last event are no event.

--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -10,6 +10,7 @@
 import pytest
 from aiohttp import web
 
+from bilberryspring.connection.tests.stream_server import serve_streams
 from bilberryspring.platform.tests.platform_standin import (
     CONFIGURATION,
     ServerStandin,
@@ -357,3 +358,56 @@
     assert "retry_extra=70" in router.log_path.read_text()
     async with aiohttp.ClientSession() as session:
         assert (await send_request(session, router, "/orders/x"))[0] == 200
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: seal\r\n"
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+# Path, answer after which the server closes the connection, and what callers get of a
+# complete answer; ``None`` if they must not get one.
+CLOSED_ANSWERS = {
+    "body": ("/orders/x", HEAD + b"\r\nall of it", b"all of it"),
+    "stream": ("/drafts/x", HEAD + b"\r\n" + EVENTS, EVENTS),
+    "stream-inside-event": ("/drafts/x", HEAD + b"\r\n" + EVENTS[:-1], None),
+    "stream-inside-first-event": ("/drafts/x", HEAD + b"\r\n" + EVENTS[:5], None),
+    "length-inside-event": (
+        "/drafts/x",
+        HEAD + b"Content-Length: 5\r\n\r\n" + EVENTS[:5],
+        None,
+    ),
+    "chunks-inside-event": (
+        "/drafts/x",
+        HEAD + CHUNKED + b"5\r\n" + EVENTS[:5] + b"\r\n0\r\n\r\n",
+        None,
+    ),
+    "short-length": ("/orders/x", HEAD + b"Content-Length: 9\r\n\r\nall", None),
+    "inside-chunk": ("/orders/x", HEAD + CHUNKED + b"9\r\nall", None),
+    "no-last-chunk": ("/orders/x", HEAD + CHUNKED + b"3\r\nall\r\n", None),
+    "status-line": ("/orders/x", HEAD[:15], None),
+    "head": ("/orders/x", HEAD, None),
+    "head-of-stream": ("/drafts/x", HEAD, None),
+    "nothing": ("/orders/x", b"", None),
+}
+
+
+@pytest.mark.parametrize("name", CLOSED_ANSWERS)
+async def test_answer_that_breaks_off_never_looks_complete(deployment, name):
+    path, answer, expected = CLOSED_ANSWERS[name]
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+
+    async with serve_streams(respond) as port, aiohttp.ClientSession() as session:
+        entry = deployment.server.make_entry(address=f"127.0.0.1:{port}")
+        await deployment.store.put("servers/s1", entry)
+        router = await deployment.add_router()
+        await router.wait_ready()
+        try:
+            status, _, body = await send_request(session, router, path)
+        except aiohttp.ClientError:
+            status, body = 0, b""
+    if expected is None:
+        assert status in (0, 502)
+    else:
+        assert (status, body) == (200, expected)
--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -43,6 +43,11 @@
         """Whether the bytes since the last separator exceed an event's maximum size."""
         return len(self._partial) > MAX_EVENT_BYTES
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes since the last separator are a part of an event."""
+        return bool(self._partial.strip(b"\r\n"))
+
     def _update_last_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
             if line.startswith(b"id:"):
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -371,6 +371,10 @@
             )
             if isinstance(chunk, Failure):
                 return chunk
+            if chunk is None and splitter.is_inside_event:
+                server_id = reservation.record.server.server_id
+                reason = f"{server_id} ended its stream inside an event"
+                return make_failure(ErrorKind.BACKEND_FAILED, reason)
             if not answer.is_started:
                 progress.start(head, None, read_boot_time_s() - request.received_s)
             if chunk is None:
