Deliver events whose lines end with CRLF as they arrive

Callers of a server that ends lines with CRLF would have got no event before the end of the stream, an aborted stream beyond 1 MB, and, since a stream that ends inside an event counts as broken off, an aborted stream every time. The splitter knew one separator, LF LF; event streams may also use CRLF, and the agents' reader accepts both. No such server was seen; the fault was found while reading the splitter.

Evidence: the 5 new cases with CRLF failed on the code before; they and the tests of the relay pass. Lone CR as a line end, which the standard allows too, is not supported.

--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -2,7 +2,8 @@
 
 __all__ = ["EventSplitter", "make_event_splitter"]
 
-_SEPARATOR = b"\n\n"
+# An event ends with an empty line; a line ends with LF or CRLF.
+_SEPARATORS = (b"\n\n", b"\n\r\n")
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -30,11 +31,17 @@
         '3'
         """
         self._partial += data
-        end = self._partial.rfind(_SEPARATOR)
-        if end < 0:
+        end = max(
+            (
+                self._partial.rfind(separator) + len(separator)
+                for separator in _SEPARATORS
+                if separator in self._partial
+            ),
+            default=0,
+        )
+        if end == 0:
             return b""
-        events = self._partial[: end + len(_SEPARATOR)]
-        self._partial = self._partial[end + len(_SEPARATOR) :]
+        events, self._partial = self._partial[:end], self._partial[end:]
         self._update_last_id(events)
         return events
 
--- /dev/null
+++ b/bilberryspring/request/tests/test_event_splitter.py
@@ -0,0 +1,30 @@
+"""Splitting of event streams at event boundaries.
+
+Guards against events that are held back until the end of their stream.
+"""
+
+import pytest
+
+from bilberryspring.request.event_splitter import make_event_splitter
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+def test_events_are_delivered_when_their_last_byte_arrives(line_end, size):
+    events = [
+        line_end.join([b"id: %d" % number, b"data: a", b"", b""])
+        for number in range(1, 4)
+    ]
+    stream = b"".join(events) + b"id: 4"
+    splitter = make_event_splitter()
+    received = b""
+    for start in range(0, len(stream), size):
+        received += splitter.feed(stream[start : start + size])
+        complete = [
+            event
+            for number, event in enumerate(events)
+            if len(b"".join(events[: number + 1])) <= start + size
+        ]
+        assert received == b"".join(complete)
+    assert splitter.last_id == "3"
+    assert splitter.is_inside_event
