Never join a begun stream to a run that does not go on after its last event

Evidence: of the new cases, 15 of the relay failed on the code before: a second run from its first event, one that repeats the last event, one whose events have no ids, one that begins with a comment, and text, each at the last server and with a sound server left. (The 7 cases of the splitter failed for want of the method that they test.)

Ruled out, by cases that passed before: answers of other kinds to the continuation, that is 302, 400, 404, 429, 500, 503 and 504, also without the seal, a success without the seal, a refusal, JSON in one piece and bytes that are no answer. Their text never got into a stream, and the stream never ended as complete.

Change: the first event of a continuation, comments aside, must have an id after that of the last event relayed; otherwise the server has failed, none of its events is relayed, and the next server is tried or the caller's connection aborted. A gap is not an error, since ids only increase. A stream that broke off after comments alone begins anew.

--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -1,9 +1,12 @@
 """Splitting of a stream that arrives in pieces of any size into complete events."""
 
+import re
+
 __all__ = ["EventSplitter", "make_event_splitter"]
 
 # An event ends with an empty line; a line ends with LF or CRLF.
 _SEPARATORS = (b"\n\n", b"\n\r\n")
+_ANY_SEPARATOR = re.compile(rb"\n\r?\n")
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -11,11 +14,16 @@
     """Splitter of a stream of server-sent events at event boundaries.
 
     :ivar last_id: id of the last complete event that has one; ``None`` before it.
+    :ivar is_continuation_wrong: whether a continuation does not go on after
+        ``last_id``; its events are not returned.
     """
 
     def __init__(self) -> None:
         self._partial = b""
         self.last_id: str | None = None
+        self._has_begun = False
+        self._must_check_continuation = False
+        self.is_continuation_wrong = False
 
     def feed(self, data: bytes) -> bytes:
         """Add the next bytes of the stream.
@@ -42,7 +50,12 @@
         if end == 0:
             return b""
         events, self._partial = self._partial[:end], self._partial[end:]
-        self._update_last_id(events)
+        if self._must_check_continuation:
+            self._check_continuation(events)
+        if self.is_continuation_wrong:
+            return b""
+        self._has_begun = self._has_begun or bool(_find_first_event(events))
+        self.last_id = _find_last_id(events.splitlines()) or self.last_id
         return events
 
     @property
@@ -55,15 +68,25 @@
         """Whether the bytes since the last separator are a part of an event."""
         return bool(self._partial.strip(b"\r\n"))
 
-    def _update_last_id(self, events: bytes) -> None:
-        for line in reversed(events.splitlines()):
-            if line.startswith(b"id:"):
-                self.last_id = line[3:].strip().decode("latin-1")
-                return
+    def begin_response(self) -> None:
+        """Begin the stream, or its continuation by another response.
 
-    def discard_partial(self) -> None:
-        """Discard the incomplete event at the end of an interrupted stream."""
+        The incomplete event at the end of an interrupted response is discarded.
+        """
         self._partial = b""
+        self._must_check_continuation = self._has_begun
+        self.is_continuation_wrong = False
+
+    def _check_continuation(self, events: bytes) -> None:
+        first_event = _find_first_event(events)
+        if first_event:
+            self._must_check_continuation = False
+            first_id = _find_last_id(first_event)
+            self.is_continuation_wrong = (
+                not first_id
+                or self.last_id is None
+                or not _is_after(first_id, self.last_id)
+            )
 
     def take_partial(self) -> bytes:
         """Remove and return the bytes after the last event separator."""
@@ -71,6 +94,36 @@
         return partial
 
 
+def _find_first_event(events: bytes) -> list[bytes]:
+    """Return the lines of the first event; empty if there are only comments."""
+    for event in _ANY_SEPARATOR.split(events):
+        lines = [
+            line for line in event.splitlines() if line and not line.startswith(b":")
+        ]
+        if lines:
+            return lines
+    return []
+
+
+def _find_last_id(lines: list[bytes]) -> str | None:
+    for line in reversed(lines):
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return None
+
+
+def _is_after(event_id: str, earlier_id: str) -> bool:
+    """Return whether an event id can follow an earlier one.
+
+    >>> _is_after("10", "9"), _is_after("9", "9"), _is_after("b", "a")
+    (True, False, True)
+    """
+    if not all(text.isascii() and text.isdigit() for text in (event_id, earlier_id)):
+        return event_id != earlier_id
+    number, earlier_number = event_id.lstrip("0"), earlier_id.lstrip("0")
+    return (len(number), number) > (len(earlier_number), earlier_number)
+
+
 def make_event_splitter() -> EventSplitter:
     """Return a splitter for a new stream."""
     return EventSplitter()
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -363,7 +363,7 @@
         stream_token: object,
     ) -> Failure | None:
         answer, splitter = progress.answer, progress.splitter
-        splitter.discard_partial()
+        splitter.begin_response()
         loop = asyncio.get_running_loop()
         while True:
             chunk = await self._read_unless_silent(
@@ -383,6 +383,9 @@
                 return _SUCCESS
             reservation.mark_prefill_done()
             events = splitter.feed(chunk)
+            if splitter.is_continuation_wrong:
+                reason = f"its stream does not go on after event {splitter.last_id}"
+                return make_failure(ErrorKind.BACKEND_FAILED, reason)
             if events:
                 reservation.record.record_response(stream_token, loop.time())
             else:
--- a/bilberryspring/request/tests/test_event_splitter.py
+++ b/bilberryspring/request/tests/test_event_splitter.py
@@ -28,3 +28,25 @@
         assert received == b"".join(complete)
     assert splitter.last_id == "3"
     assert splitter.is_inside_event
+
+
+@pytest.mark.parametrize(
+    ("first_id", "is_wrong"),
+    [
+        (b"8", True),
+        (b"9", True),
+        (b"009", True),
+        (b"10", False),
+        (b"9" * 5000, False),
+        (b"", True),
+        (b"x", False),
+    ],
+)
+def test_continuation_must_go_on_after_the_last_event(first_id, is_wrong):
+    splitter = make_event_splitter()
+    splitter.begin_response()
+    splitter.feed(b"id: 9\ndata: a\n\nid: 10\n")
+    splitter.begin_response()
+    event = b"id: %b\ndata: b\n\n" % first_id
+    assert splitter.feed(event) == (b"" if is_wrong else event)
+    assert splitter.is_continuation_wrong == is_wrong
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -292,3 +292,55 @@
     body = b"id: 1\ndata: a\n\n\n"
     answer, _ = await relay(STREAM_ROUTE, [[make_head(), body, None]])
     assert answer.body == body and answer.is_finished
+
+
+BEGUN_STREAM = [make_head(), b"id: 9\ndata: a\n\nid: 10\nda", make_lost_connection()]
+# Responses that do not go on after event 10.
+WRONG_CONTINUATIONS = {
+    "from-the-start": [make_head(), b"id: 1\ndata: a\n\n", b"id: 2\ndata\n\n", None],
+    "last-event-again": [make_head(), b"id: 9\ndata: a\n\nid: 10\ndata\n\n", None],
+    "without-ids": [make_head(), b"data: b\n\n", None],
+    "comment-first": [make_head(), b": hi\n\n", b"id: 9\ndata: a\n\n", None],
+    "text": [make_head(), b"<p>busy</p>\n\n<p>later</p>\n\n", None],
+    "json": [make_head(), b'{"error": "busy"}', None],
+    "unsealed": [make_head(is_own=False), b"id: 10\ndata: b\n\n", None],
+    "unsealed-error": [make_head(500, is_own=False), b"why\n\n", None],
+    **{
+        str(status): [make_head(status), b"why\n\n", None]
+        for status in (302, 400, 404, 429, 500, 503, 504)
+    },
+    "refusal": [make_head(503, was_not_run=True, is_own=False), b"full\n\n", None],
+    "not-http": [make_lost_connection("garbled")],
+}
+
+
+@pytest.mark.parametrize("name", WRONG_CONTINUATIONS)
+@pytest.mark.parametrize("max_servers", [2, 3])
+async def test_begun_stream_is_never_joined_to_another_answer(name, max_servers):
+    route = make_route(ExecutionRule.STREAM, is_resumable=True, max_servers=max_servers)
+    wrong = WRONG_CONTINUATIONS[name]
+    answer, calls = await relay(
+        route, [BEGUN_STREAM, wrong, wrong, wrong], servers=("a", "b", "c", "d")
+    )
+    assert answer.head.status == 200
+    assert answer.body.replace(b": hi\n\n", b"") == b"id: 9\ndata: a\n\n"
+    assert answer.is_broken and not answer.is_finished
+    assert answer.failure is None
+    assert all(after == "9" for _, after, _ in calls.sent[1:])
+
+
+@pytest.mark.parametrize("name", WRONG_CONTINUATIONS)
+async def test_begun_stream_goes_on_at_the_server_after_one_with_another_answer(name):
+    route = make_route(ExecutionRule.STREAM, is_resumable=True, max_servers=3)
+    right = [make_head(), b": hi\n\n", b"id: 10\ndata: b\n\n", None]
+    answer, _ = await relay(route, [BEGUN_STREAM, WRONG_CONTINUATIONS[name], right])
+    events = answer.body.replace(b": hi\n\n", b"")
+    assert events == b"id: 9\ndata: a\n\nid: 10\ndata: b\n\n"
+    assert answer.is_finished
+
+
+async def test_stream_that_broke_off_after_comments_begins_again_elsewhere():
+    first = [make_head(), b": hi\n\n", b"id: 1\nda", make_lost_connection()]
+    second = [make_head(), b"id: 1\ndata: a\n\n", None]
+    answer, _ = await relay(RESUMABLE_ROUTE, [first, second])
+    assert answer.body == b": hi\n\nid: 1\ndata: a\n\n" and answer.is_finished
