Do not relay 408, 429 and 503 of a server that does not state "not run"

Callers would have been told "not run and never will be" for requests that a server had run (rule REFUSED): a 408, 429 or 503 with the server's seal but without the header that states that it was not executed was relayed with its status.

Evidence: the 9 new cases (three statuses, three kinds of routes) failed on the code before; the status reached the caller.

Ruled out: 421 is never relayed, since it always means another server; the router's own 408, 429 and 503 are sent for requests that were not run, as before.

Change: such a response is a failure of the server with an unknown outcome. A repeatable request is tried elsewhere; any other is answered with 502.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -12,6 +12,7 @@
     "BackendCalls",
     "CallerResponse",
     "Exchange",
+    "NOT_RUN_STATUSES",
     "ServerLoad",
 ]
 
@@ -33,6 +34,10 @@
     work_time_ratio: float = 1.0
 
 
+# Statuses that promise callers that the request was not run and never will be.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 @dataclass(frozen=True, slots=True)
 class BackendResponseHead:
     """Status and headers of a server's response.
@@ -57,6 +62,11 @@
         """Whether the response is a verified success that may be forwarded."""
         return self.is_verified and 200 <= self.status < 300
 
+    @property
+    def is_unfounded_promise(self) -> bool:
+        """Whether only the status states that the request was not run."""
+        return self.status in NOT_RUN_STATUSES and not self.was_not_run
+
 
 class Exchange(Protocol):
     """A request that was sent to a server, and its response."""
--- a/bilberryspring/platform/caller_requests.py
+++ b/bilberryspring/platform/caller_requests.py
@@ -4,7 +4,10 @@
 import math
 from urllib.parse import unquote
 
-from bilberryspring.capability.backend_calls import BackendResponseHead
+from bilberryspring.capability.backend_calls import (
+    NOT_RUN_STATUSES,
+    BackendResponseHead,
+)
 from bilberryspring.capability.routing import (
     IncomingRequest,
     Prompt,
@@ -44,8 +47,6 @@
     504: "Gateway Timeout",
 }
 _BEARER_SCHEME = b"bearer "
-# Statuses that tell callers that the request was not executed and never will be.
-_NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Callers that wait at most this long send no deadline header.
 DEFAULT_DEADLINE_MS = 30_000
 
@@ -101,7 +102,7 @@
         headers = [(b"Content-Type", b"application/problem+json")]
         if self._request_id:
             headers.append((b"Attempt-Id", self._request_id.encode("latin-1")))
-        if failure.retry_after_s > 0 and self.status in _NOT_RUN_STATUSES:
+        if failure.retry_after_s > 0 and self.status in NOT_RUN_STATUSES:
             headers.append((b"Retry-After", b"%.3f" % failure.retry_after_s))
         reason = REASON_PHRASES.get(self.status, "Failure")
         self._connection.start_response(self.status, reason, headers, len(body))
@@ -120,7 +121,7 @@
         return 503
     if failure.outcome is Outcome.NOT_RUN and status in (502, 504):
         return 503
-    if failure.outcome is not Outcome.NOT_RUN and status in _NOT_RUN_STATUSES:
+    if failure.outcome is not Outcome.NOT_RUN and status in NOT_RUN_STATUSES:
         return 502
     return status
 
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -306,6 +306,12 @@
                 ErrorKind.BACKEND_FAILED,
                 f"{record.server.server_id} sent {head.status} without proof of origin",
             )
+        if head.is_unfounded_promise:
+            return make_failure(
+                ErrorKind.BACKEND_FAILED,
+                f"{record.server.server_id} sent {head.status} without a statement"
+                " that it did not run the request",
+            )
         can_repeat = (
             request.route.is_repeatable and request.attempts < request.route.max_servers
         )
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -262,6 +262,19 @@
     assert asyncio.get_running_loop().time() - started_s < 1.8
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE, REPEATABLE_ROUTE])
+async def test_status_that_promises_not_run_is_not_relayed_without_a_statement(
+    status, route
+):
+    script = [make_head(status), b"busy", None]
+    answer, calls = await relay(route, [script, script])
+    assert answer.head is None
+    assert answer.failure.kind is ErrorKind.BACKEND_FAILED
+    assert answer.failure.outcome is Outcome.UNKNOWN
+    assert len(calls.sent) == (2 if route.is_repeatable else 1)
+
+
 PARTIAL_EVENTS = [b"id: 2", b"id: 2\n", b"id: 2\ndata: b", b"id: 2\ndata: b\n", b": hi"]
 
 
