Take only the server's end of data for the end of a body without a length

A body that ends with its connection counted as complete whenever the connection was lost without an error, so also when this side closed it. The relay closes a connection only after it has stopped reading, so callers were not affected; the client of the platform's store is: when one call times out it closes the connections of all other calls, and a list that was being read without a length would have looked complete.

Ruled out, by the new cases on asyncio's loop and on uvloop, with and without a request body that the server does not read: a reset was never taken for the end, and an end of data that a reset follows never for a reset.

Change: the protocol's `eof_received` ends such a body; a loss of the connection never does. Closing fails pending reads at once.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -143,15 +143,21 @@
             self._fail(ConnectionFailureKind.MALFORMED, reason)
 
     def eof_received(self) -> bool:
-        """Return False, so that the transport closes this side too."""
-        return False
+        """End a close-delimited body.
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End a close-delimited body, and fail pending reads."""
-        if exc is None and self._is_reading_body and self._is_close_delimited:
+        Only the server's end of data ends it: after a reset or a close by this side it
+        is incomplete.
+
+        :returns: False, so that the transport closes this side too.
+        """
+        if self._failure is None and self._is_reading_body and self._is_close_delimited:
             self._is_reading_body = False
             self._keeps_alive = False
             self._enqueue(_END_OF_RESPONSE)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail pending reads."""
         kind = (
             ConnectionFailureKind.CLOSED if exc is None else ConnectionFailureKind.RESET
         )
@@ -312,6 +318,7 @@
 
     def close(self) -> None:
         """Abort the connection; the server then drops a request in progress."""
+        self._fail(ConnectionFailureKind.CLOSED, "closed by this side")
         if self._transport is not None:
             self._transport.abort()
 
--- a/bilberryspring/connection/tests/test_http_backend.py
+++ b/bilberryspring/connection/tests/test_http_backend.py
@@ -9,12 +9,14 @@
 import struct
 
 import pytest
+import uvloop
 
 from bilberryspring.connection.http_backend import (
     ConnectionFailure,
     ConnectionFailureKind,
     open_connection,
 )
+from bilberryspring.connection.tests.stream_server import serve_streams
 
 OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nContent-Length: 2\r\n\r\nhi"
 
@@ -233,3 +235,67 @@
     head, body, end = await read_all(connection)
     assert (head.status, len(body), end) == (200, 50_000, None)
     server.close()
+
+
+async def exchange(respond, body=b""):
+    """Send a request and read the response.
+
+    :returns: head or failure, body, and ``None`` at its end or a failure.
+    """
+
+    async def read_head_and_respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await respond(writer)
+
+    async with serve_streams(read_head_and_respond) as port, asyncio.timeout(5):
+        connection = await open_connection("127.0.0.1", port, 1.0)
+        connection.send(b"POST / HTTP/1.1\r\n\r\n" + body)
+        response = await read_all(connection)
+        connection.close()
+        return response
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+@pytest.mark.parametrize(
+    ("ending", "expected"),
+    [
+        ("close", None),
+        ("half-close-then-reset", None),
+        ("reset", ConnectionFailureKind.RESET),
+    ],
+)
+@pytest.mark.parametrize("unread_bytes", [0, 4_000_000])
+def test_end_of_a_body_without_length_is_told_from_a_reset(
+    run, ending, expected, unread_bytes
+):
+    async def respond(writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if ending != "reset":
+            writer.write_eof()
+            # Closing with unread bytes resets the connection.
+            await asyncio.sleep(0.5 if ending == "close" else 0.05)
+        if ending != "close":
+            reset_connection(writer)
+
+    _, body, end = run(exchange(respond, b"x" * unread_bytes))
+    assert body == b"abc"
+    assert (end if end is None else end.kind) == expected
+
+
+async def test_body_without_length_is_not_complete_when_this_side_closes():
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        await reader.read()
+
+    async with serve_streams(respond) as port, asyncio.timeout(5):
+        connection = await open_connection("127.0.0.1", port, 1.0)
+        connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        assert (await connection.read_head()).status == 200
+        assert await connection.read_chunk() == b"abc"
+        reading = asyncio.create_task(connection.read_chunk())
+        await asyncio.sleep(0.05)
+        connection.close()
+        assert isinstance(await reading, ConnectionFailure)
