Fail a response whose head begins inside that of another

Evidence: the new test sends every beginning of an earlier 503, 421, 200 and 102, right after the answer before, together with the next answer or just before it. A beginning of "HTTP/1.1 421 Misdirected Request" made a run request "was_not_run=True, is_verified=True" with status 421, one of a 503 gave a sealed 503, and one of an answer gave its seal to another. A connection with a beginning of a response behind the answer was used again and then failed the next request.

Ruled out, by cases of this test and of those beside it that passed before: whole copies with another id or none before, together with or after the next request is sent.

Change: a status line in a reason phrase or in a header value makes the response malformed, so its request has an unknown outcome; and a connection on which the parser is inside a response is not used again.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import re
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
@@ -30,6 +31,7 @@
 # Unread bytes of an earlier response that are discarded before a connection counts as
 # broken.
 MAX_DISCARDED_BYTES = 1024 * 1024
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 
 
 class ConnectionFailureKind(Enum):
@@ -97,7 +99,9 @@
         self._read_ready = asyncio.Event()
         self._write_ready = asyncio.Event()
         self._write_ready.set()
+        self._reason_phrase = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._is_parsing_message = False
         self._is_informational = False
         self._is_close_delimited = False
         self._is_reading_body = False
@@ -174,15 +178,28 @@
     # Callbacks of the HTTP parser.
 
     def on_message_begin(self) -> None:
-        """Reset the headers for the next response."""
+        """Reset the head for the next response."""
+        self._reason_phrase = b""
         self._headers = []
+        self._is_parsing_message = True
+
+    def on_status(self, part: bytes) -> None:
+        """Append a part of the reason phrase."""
+        self._reason_phrase += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header."""
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Queue the head of a response, unless its status is 1xx."""
+        """Queue the head of a response, unless its status is 1xx.
+
+        :raises ValueError: if the head contains the start of another response, which
+            follows when the server breaks a response off and sends the next.
+        """
+        head_parts = (self._reason_phrase, *(value for _, value in self._headers))
+        if any(_STATUS_LINE.search(part) for part in head_parts):
+            raise ValueError("a response began in the head of another")
         status = self._parser.get_status_code()
         self._is_informational = 100 <= status < 200
         if self._is_informational:
@@ -206,6 +223,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the end of a response, unless its status is 1xx."""
+        self._is_parsing_message = False
         if self._is_informational:
             return
         self._is_reading_body = False
@@ -300,7 +318,7 @@
             self._failure is None
             and self._keeps_alive
             and not self._received_parts
-            and not self._is_reading_body
+            and not self._is_parsing_message
             and self._transport is not None
             and not self._transport.is_closing()
             and self._transport.get_write_buffer_size() == 0
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -12,6 +12,7 @@
 
 from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.capability.routing import ExecutionRule
+from bilberryspring.connection.tests.stream_server import serve_streams
 from bilberryspring.platform import backend_calls, unreadable_values
 from bilberryspring.platform.backend_calls import make_server_calls
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome
@@ -266,3 +267,70 @@
     assert (await send_request(calls, server, "a")).is_success
     found = await send_request(calls, server, "b")
     assert (b"Attempt-Id", b"b") in found.headers
+
+
+COPY_HEADERS = (
+    "Date: Fri, 04 Dec 2026 10:00:00 GMT\r\nServer: engine\r\n"
+    "Attempt-Id: a\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbusy"
+)
+COPIES = {
+    "refusal": "HTTP/1.1 503 Unavailable\r\nNot-Executed: 1\r\n" + COPY_HEADERS,
+    "misdirected": "HTTP/1.1 421 Misdirected Request\r\n" + COPY_HEADERS,
+    "answer": "HTTP/1.1 200 OK\r\nResponse-Seal: old\r\n" + COPY_HEADERS,
+    "interim": "HTTP/1.1 102 Processing\r\nNot-Executed: 1\r\n\r\n",
+}
+MOMENTS = ("with-previous-answer", "with-answer", "before-answer")
+
+
+async def send_after_copy(copy, moment):
+    """Send a request whose server sends a copy of an earlier response.
+
+    :returns: head and body of the response, or a failure and nothing.
+    """
+    previous, own = make_response("a"), make_response("b")
+    is_first = moment == "with-previous-answer"
+
+    async def respond(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"Attempt-Id: a" in head:
+            writer.write((previous + (copy if is_first else "")).encode())
+            await reader.readuntil(b"\r\n\r\n")
+        if not is_first:
+            writer.write(copy.encode())
+        if moment == "before-answer":
+            await asyncio.sleep(0.005)
+        writer.write(own.encode())
+        await writer.drain()
+
+    async with serve_streams(respond) as port:
+        server, calls = replace(make_server("s1"), port=port), make_server_calls()
+        for request_id in "ab":
+            request = make_request(make_route(), request_id=request_id)
+            request.headers = [(b"Attempt-Id", request_id.encode())]
+            exchange = await calls.begin(server, request, 2.0)
+            head = await exchange.read_head()
+            body = b""
+            while not isinstance(head, Failure):
+                chunk = await exchange.read_chunk()
+                if not isinstance(chunk, bytes):
+                    break
+                body += chunk
+            exchange.close()
+        calls.close()
+        return head, body
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("name", COPIES)
+async def test_broken_off_copy_never_answers_the_next_request(name, moment):
+    copy = COPIES[name]
+    for cut in range(len(copy) + 1):
+        head, body = await send_after_copy(copy[:cut], moment)
+        if isinstance(head, Failure):
+            assert head.outcome is Outcome.UNKNOWN, (cut, head)
+            assert moment != "with-previous-answer", (cut, head)
+            continue
+        assert head.is_success and not head.was_not_run, (cut, head)
+        assert (b"Attempt-Id", b"b") in head.headers, (cut, head)
+        seals = [value for name, value in head.headers if name == b"Response-Seal"]
+        assert (seals, body) == ([b"s"], b"hi"), (cut, head)
