Fail an agent's call of a service whose body ends with a reset

Engines were not affected: their streams are complete only after their end marker.

Change: the session's response keeps the protocol of its connection, and a call whose body only the connection ended fails with the error that ended the connection. The outcome is unknown, as after any lost connection.

--- a/bilberryspring/request/backend_session.py
+++ b/bilberryspring/request/backend_session.py
@@ -11,12 +11,44 @@
 from bilberryspring.request.backend_call import CONNECT_TIMEOUT_S, BackendCall
 from bilberryspring.request.errors import Outcome
 
-__all__ = ["SecondSendError", "make_backend_session"]
+__all__ = ["BackendResponse", "SecondSendError", "make_backend_session"]
 
 # A connection that was idle for longer may have lost its network path or be closing.
 KEEP_ALIVE_S = 1.0
 
 
+class BackendResponse(aiohttp.ClientResponse):
+    """Response that fails if its body ends with a reset of the connection.
+
+    The HTTP client takes the loss of a connection for the end of a body that has
+    neither a length nor chunks, whatever the cause.
+    """
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> "BackendResponse":
+        """Start to read the response.
+
+        :param connection: connection that the request was sent over.
+        """
+        self._reading_protocol = connection.protocol
+        await super().start(connection)
+        return self
+
+    def raise_for_reset(self) -> None:
+        """Raise the error that ended the body, if only the connection's end ended it.
+
+        :raises aiohttp.ClientOSError: if the connection was reset.
+        """
+        has_body = self.method != "HEAD" and self.status not in (204, 304)
+        is_framed = (
+            "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        )
+        error = self._reading_protocol.exception()
+        if has_body and not is_framed and isinstance(error, aiohttp.ClientOSError):
+            raise error
+
+
 class SecondSendError(Exception):
     """The HTTP client tried to send the same request again by itself."""
 
@@ -43,6 +75,7 @@
         connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         trace_configs=[trace],
+        response_class=BackendResponse,
         auto_decompress=False,
         read_bufsize=1 << 20,
     )
--- a/bilberryspring/request/service_calls.py
+++ b/bilberryspring/request/service_calls.py
@@ -155,6 +155,7 @@
         call.answer.accept(call.on_response_start(""), call.config_version)
         async for data in response.content.iter_chunked(CHUNK_BYTES):
             call.answer.append(data)
+        response.raise_for_reset()
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         packed_headers = select_response_headers(response.headers)
         call.hedging_policy.record_response(time.monotonic() - started_s)
--- a/bilberryspring/request/tests/test_backends.py
+++ b/bilberryspring/request/tests/test_backends.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 
 import pytest
@@ -13,6 +15,7 @@
 from aiohttp.test_utils import TestServer
 
 from bilberryspring.connection.messages import Open
+from bilberryspring.connection.tests.stream_server import serve_streams
 from bilberryspring.identifiers import ConfigVersion, RequestId, WorkspaceName
 from bilberryspring.request.backend_call import ADAPTERS
 from bilberryspring.request.backends import (
@@ -220,3 +223,35 @@
             await call("127.0.0.1:1", PoolKind.SERVICE)
     assert len(tries) == 2
     assert not tries[1].sent and tries[1].may_have_run
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("ending", ["reset", "close"])
+async def test_body_without_length_is_complete_only_without_a_reset(
+    is_idempotent, pause_s, ending
+):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+        if ending == "reset":
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+    async with serve_streams(respond) as port:
+        result, backend_call = await call(
+            f"127.0.0.1:{port}",
+            PoolKind.SERVICE,
+            method="GET",
+            idempotent=is_idempotent,
+        )
+    if ending == "close":
+        assert isinstance(result, BackendResult)
+        assert b"".join(backend_call.answer.chunks) == b"abc"
+    else:
+        assert result.kind is ErrorKind.BACKEND_FAILED
+        assert result.outcome is Outcome.UNKNOWN
