Do not answer an agent's call with bytes that arrived before it

Evidence: the new case with a whole copy failed on the code before (the second call got the body "old"); two cases with a part of a copy passed, since the client starts a new parser for each request.

Change: the session's connector closes a connection that has unread bytes when it would reuse it. A copy that arrives after the next request has been sent can't be told apart, since these servers repeat no request id; requests that must run once use a connection of their own and are not affected.

--- a/bilberryspring/request/backend_session.py
+++ b/bilberryspring/request/backend_session.py
@@ -49,6 +49,32 @@
             raise error
 
 
+class BackendConnector(aiohttp.TCPConnector):
+    """Connector that does not reuse connections with unread bytes.
+
+    The HTTP client would take a late copy of an earlier response, received while the
+    connection was idle, for the response to the next request.
+    """
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list,
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return an idle connection without unread bytes, or a new connection.
+
+        :param req: request to send.
+        :param traces: traces of the session.
+        :param timeout: limits of the session.
+        """
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            if not connection.protocol.should_close:
+                return connection
+            connection.close()
+
+
 class SecondSendError(Exception):
     """The HTTP client tried to send the same request again by itself."""
 
@@ -72,7 +98,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_record_send)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S),
+        connector=BackendConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         trace_configs=[trace],
         response_class=BackendResponse,
--- a/bilberryspring/request/tests/test_backends.py
+++ b/bilberryspring/request/tests/test_backends.py
@@ -255,3 +255,34 @@
     else:
         assert result.kind is ErrorKind.BACKEND_FAILED
         assert result.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("size", [1.0, 0.6, 0.2])
+async def test_late_copy_on_an_idle_connection_does_not_answer_the_next_call(size):
+    response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}"
+    copy = response.format("old")[: int(len(response.format("old")) * size)]
+    bodies = ["one", "two"]
+
+    async def respond(reader, writer):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response.format(bodies.pop(0)).encode())
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(copy.encode())
+
+    session = make_backend_session()
+    async with serve_streams(respond) as port:
+        for body in (b"one", b"two"):
+            result, backend_call = await call(
+                f"127.0.0.1:{port}",
+                PoolKind.SERVICE,
+                session,
+                method="GET",
+                body=b"",
+                idempotent=True,
+            )
+            assert isinstance(result, BackendResult)
+            assert b"".join(backend_call.answer.chunks) == body
+            await asyncio.sleep(0.1)
+        await session.close()
