--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -364,6 +364,12 @@
                 ErrorKind.BACKEND_FAILED,
                 f"{record.server.server_id} sent {head.status} without proof of origin",
             )
+        if head.is_unfounded_promise:
+            return make_failure(
+                ErrorKind.BACKEND_FAILED,
+                f"{record.server.server_id} sent {head.status} without a statement"
+                " that it did not run the request",
+            )
         can_repeat = (
             request.route.is_repeatable and request.attempts < request.route.max_servers
         )
@@ -421,7 +427,7 @@
         stream_token: object,
     ) -> Failure | None:
         answer, splitter = progress.answer, progress.splitter
-        splitter.discard_partial()
+        splitter.begin_response()
         loop = asyncio.get_running_loop()
         while True:
             chunk = await self._read_unless_silent(
@@ -429,6 +435,10 @@
             )
             if isinstance(chunk, Failure):
                 return chunk
+            if chunk is None and splitter.is_inside_event:
+                server_id = reservation.record.server.server_id
+                reason = f"{server_id} ended its stream inside an event"
+                return make_failure(ErrorKind.BACKEND_FAILED, reason)
             if not answer.is_started:
                 progress.start(head, None, read_boot_time_s() - request.received_s)
             if chunk is None:
@@ -437,6 +447,9 @@
                 return _SUCCESS
             reservation.mark_prefill_done()
             events = splitter.feed(chunk)
+            if splitter.is_continuation_wrong:
+                reason = f"its stream does not go on after event {splitter.last_id}"
+                return make_failure(ErrorKind.BACKEND_FAILED, reason)
             if events:
                 reservation.record.record_response(stream_token, loop.time())
             await answer.write(events)
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -13,7 +13,10 @@
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
-from bilberryspring.request.relay import MIN_STALL_S, STALL_PAUSE_FACTOR
+from bilberryspring.request.relay import (
+    MIN_STALL_S,
+    STALL_PAUSE_FACTOR,
+)
 from bilberryspring.request.tests.relay_fixtures import (
     make_head,
     make_lost_connection,
@@ -26,15 +29,23 @@
 RESUMABLE_ROUTE = make_route(ExecutionRule.STREAM, is_resumable=True)
 STREAM_ROUTE = make_route(ExecutionRule.STREAM)
 COMPLETE_RESPONSE = [make_head(), b"answer", None]
+COMPLETE_STREAM = [make_head(), b"id: 1\ndata: answer\n\n", None]
 UNREACHABLE = make_failure(ErrorKind.BACKEND_UNREACHABLE)
 
 
-@pytest.mark.parametrize("route", [REPEATABLE_ROUTE, ONCE_ROUTE, STREAM_ROUTE])
-async def test_request_that_was_not_run_is_sent_to_another_server(route):
+@pytest.mark.parametrize(
+    ("route", "complete"),
+    [
+        (REPEATABLE_ROUTE, COMPLETE_RESPONSE),
+        (ONCE_ROUTE, COMPLETE_RESPONSE),
+        (STREAM_ROUTE, COMPLETE_STREAM),
+    ],
+)
+async def test_request_that_was_not_run_is_sent_to_another_server(route, complete):
     answer, calls = await relay(
-        route, [[make_head(503, was_not_run=True, is_own=False)], COMPLETE_RESPONSE]
+        route, [[make_head(503, was_not_run=True, is_own=False)], complete]
     )
-    assert answer.body == b"answer" and answer.is_finished
+    assert answer.body == complete[1] and answer.is_finished
     assert len({server for server, _, _ in calls.sent}) == 2
 
 
@@ -320,3 +331,100 @@
     answer, calls = await relay(RESUMABLE_ROUTE, [steady, COMPLETE_RESPONSE])
     assert answer.body == b"".join(events) and answer.is_finished
     assert len(calls.sent) == 1
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE, REPEATABLE_ROUTE])
+async def test_status_that_promises_not_run_is_not_relayed_without_a_statement(
+    status, route
+):
+    script = [make_head(status), b"busy", None]
+    answer, calls = await relay(route, [script, script])
+    assert answer.head is None
+    assert answer.failure.kind is ErrorKind.BACKEND_FAILED
+    assert answer.failure.outcome is Outcome.UNKNOWN
+    assert len(calls.sent) == (2 if route.is_repeatable else 1)
+
+
+PARTIAL_EVENTS = [b"id: 2", b"id: 2\n", b"id: 2\ndata: b", b"id: 2\ndata: b\n", b": hi"]
+
+
+@pytest.mark.parametrize("partial", PARTIAL_EVENTS)
+@pytest.mark.parametrize("has_complete_event", [True, False])
+async def test_stream_that_ends_inside_an_event_does_not_look_complete(
+    partial, has_complete_event
+):
+    events = b"id: 1\ndata: a\n\n" if has_complete_event else b""
+    script = [make_head(), events + partial, None]
+    answer, calls = await relay(STREAM_ROUTE, [script])
+    assert answer.is_broken and not answer.is_finished
+    assert answer.body == events
+    assert len(calls.sent) == 1
+
+
+@pytest.mark.parametrize("partial", PARTIAL_EVENTS)
+async def test_stream_that_ends_inside_an_event_resumes_elsewhere(partial):
+    first = [make_head(), b"id: 1\ndata: a\n\n", partial, None]
+    second = [make_head(), b"id: 2\ndata: b\n\n", None]
+    answer, calls = await relay(RESUMABLE_ROUTE, [first, second])
+    assert answer.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert answer.is_finished
+    assert calls.sent[1][1] == "1"
+
+
+async def test_line_ends_after_the_last_event_belong_to_a_complete_stream():
+    body = b"id: 1\ndata: a\n\n\n"
+    answer, _ = await relay(STREAM_ROUTE, [[make_head(), body, None]])
+    assert answer.body == body and answer.is_finished
+
+
+BEGUN_STREAM = [make_head(), b"id: 9\ndata: a\n\nid: 10\nda", make_lost_connection()]
+# Responses that do not go on after event 10.
+WRONG_CONTINUATIONS = {
+    "from-the-start": [make_head(), b"id: 1\ndata: a\n\n", b"id: 2\ndata\n\n", None],
+    "last-event-again": [make_head(), b"id: 9\ndata: a\n\nid: 10\ndata\n\n", None],
+    "without-ids": [make_head(), b"data: b\n\n", None],
+    "comment-first": [make_head(), b": hi\n\n", b"id: 9\ndata: a\n\n", None],
+    "text": [make_head(), b"<p>busy</p>\n\n<p>later</p>\n\n", None],
+    "json": [make_head(), b'{"error": "busy"}', None],
+    "unsealed": [make_head(is_own=False), b"id: 10\ndata: b\n\n", None],
+    "unsealed-error": [make_head(500, is_own=False), b"why\n\n", None],
+    **{
+        str(status): [make_head(status), b"why\n\n", None]
+        for status in (302, 400, 404, 429, 500, 503, 504)
+    },
+    "refusal": [make_head(503, was_not_run=True, is_own=False), b"full\n\n", None],
+    "not-http": [make_lost_connection("garbled")],
+}
+
+
+@pytest.mark.parametrize("name", WRONG_CONTINUATIONS)
+@pytest.mark.parametrize("max_servers", [2, 3])
+async def test_begun_stream_is_never_joined_to_another_answer(name, max_servers):
+    route = make_route(ExecutionRule.STREAM, is_resumable=True, max_servers=max_servers)
+    wrong = WRONG_CONTINUATIONS[name]
+    answer, calls = await relay(
+        route, [BEGUN_STREAM, wrong, wrong, wrong], servers=("a", "b", "c", "d")
+    )
+    assert answer.head.status == 200
+    assert answer.body.replace(b": hi\n\n", b"") == b"id: 9\ndata: a\n\n"
+    assert answer.is_broken and not answer.is_finished
+    assert answer.failure is None
+    assert all(after == "9" for _, after, _ in calls.sent[1:])
+
+
+@pytest.mark.parametrize("name", WRONG_CONTINUATIONS)
+async def test_begun_stream_goes_on_at_the_server_after_one_with_another_answer(name):
+    route = make_route(ExecutionRule.STREAM, is_resumable=True, max_servers=3)
+    right = [make_head(), b": hi\n\n", b"id: 10\ndata: b\n\n", None]
+    answer, _ = await relay(route, [BEGUN_STREAM, WRONG_CONTINUATIONS[name], right])
+    events = answer.body.replace(b": hi\n\n", b"")
+    assert events == b"id: 9\ndata: a\n\nid: 10\ndata: b\n\n"
+    assert answer.is_finished
+
+
+async def test_stream_that_broke_off_after_comments_begins_again_elsewhere():
+    first = [make_head(), b": hi\n\n", b"id: 1\nda", make_lost_connection()]
+    second = [make_head(), b"id: 1\ndata: a\n\n", None]
+    answer, _ = await relay(RESUMABLE_ROUTE, [first, second])
+    assert answer.body == b": hi\n\nid: 1\ndata: a\n\n" and answer.is_finished
