Quarantine prompt parts on which servers crash

Callers saw server after server end under them: one part of a prompt, in requests that are alike in nothing else, crashed each server that began to answer.

Cause: routers recorded crashes by the digest of the whole request, which never repeats. Ruled out: late reports of digests (they never repeat), and attempts of one request alone (they end with the second crash of a digest; here they double the rate).

Change: a crash counts against the shared prompt parts and the whole content of each request that the server had not begun to answer; an answer clears them; the content that explains most crashes is quarantined, and explains these for the others. Routers report both to each other, news ahead of the regular report. A quarantined part is tested from time to time. A crash counts only if the server's machine refuses connections.

The test test_prompt_part_that_crashes_servers_reaches_no_third_server, adapted to the code before, failed there: the third request was sent.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from bilberryspring.capability.routing import BackendServer, IncomingRequest
@@ -13,10 +14,23 @@
     "CallerResponse",
     "Exchange",
     "NOT_RUN_STATUSES",
+    "Reachability",
     "ServerLoad",
 ]
 
 
+class Reachability(Enum):
+    """Result of connecting to a server's address.
+
+    ``REFUSED`` means that its machine runs no process there; ``SILENT`` that nothing
+    came back, as from a machine without power or behind a cut.
+    """
+
+    REACHABLE = "reachable"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
     """Load that a server reports with a response, over all callers.
@@ -103,8 +117,8 @@
         :returns: the exchange, or a failure if nothing was sent.
         """
 
-    async def is_down(self, server: BackendServer) -> bool:
-        """Return whether the server's address no longer accepts connections.
+    async def check_reachability(self, server: BackendServer) -> Reachability:
+        """Try to connect to a server's address.
 
         :param server: a server whose connection broke.
         """
--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -53,11 +53,13 @@
     :param reason: description of the failure for logs.
     :param has_response_started: whether any byte was received after the latest request
         was sent.
+    :param is_refused: whether the server's machine refused the connection.
     """
 
     kind: ConnectionFailureKind
     reason: str
     has_response_started: bool = False
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -358,6 +360,9 @@
     except TimeoutError:
         reason = f"connecting timed out after {timeout_s:.2f} s"
         return ConnectionFailure(ConnectionFailureKind.UNREACHABLE, reason)
+    except ConnectionRefusedError as error:
+        kind = ConnectionFailureKind.UNREACHABLE
+        return ConnectionFailure(kind, str(error), is_refused=True)
     except OSError as error:
         return ConnectionFailure(ConnectionFailureKind.UNREACHABLE, str(error))
     return protocol
--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -11,9 +11,23 @@
   loads @5 :List(RouterLoad);
   serversDigest @6 :UInt64;
   serversAgeMs @7 :Int64;
-  crashes @8 :List(ContentCrashes);
+  obsoleteCrashes @8 :List(ContentCrashes);
   hasFastLink @9 :Bool;
   statements @10 :List(ServerStatement);
+  suspects @11 :List(SuspectContent);
+}
+
+struct SuspectContent {
+  contentHash @0 :UInt64;
+  crashes @1 :List(SuspectCrash);
+  # Zero if the content was never answered, else one more than the age.
+  answerAgeMs @2 :UInt32;
+  isRequest @3 :Bool;
+}
+
+struct SuspectCrash {
+  crashHash @0 :UInt32;
+  ageMs @1 :UInt32;
 }
 
 struct ServerStatement {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -20,6 +20,7 @@
     "ServerStatement",
     "StoreSnapshot",
     "SnapshotEntry",
+    "SuspectReport",
     "decode_report",
     "decode_snapshot",
     "encode_report",
@@ -30,8 +31,8 @@
 MAX_REPORT_BYTES = 1400
 MAX_LOADS = 32
 MAX_STATEMENTS = 12
-MAX_CRASH_DIGESTS = 3
-MAX_CRASH_IDS_PER_DIGEST = 2
+MAX_SUSPECTS = 6
+MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
 # reduces a snapshot to about a fifth of its size.
@@ -73,6 +74,24 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectReport:
+    """Evidence on a content that may crash backend servers.
+
+    :param content_hash: hash of a prompt part, or of all that a request contains.
+    :param is_request: whether it is the content of a whole request.
+    :param crash_ages_s: for each crash that led to the content, its hash and the
+        seconds since then, when the report was sent.
+    :param answer_age_s: seconds since the latest response to a request with the
+        content; ``None`` if none is known.
+    """
+
+    content_hash: int
+    is_request: bool
+    crash_ages_s: tuple[tuple[int, float], ...]
+    answer_age_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class RouterReport:
     """State of one router.
@@ -87,8 +106,7 @@
     :param servers_digest: digest of the sender's list of backend servers.
     :param servers_age_s: seconds since the store confirmed this list, negative if it
         never did.
-    :param crashes: digests of request contents that crashed backend servers, each with
-        the ids of the crashes.
+    :param suspects: evidence on contents that may crash backend servers.
     :param has_fast_link: whether the sender's network link is fast enough for more than
         reports, such as requests for snapshots.
     :param statements: latest statements of backend servers on their own load.
@@ -102,7 +120,7 @@
     loads: tuple[RouterLoad, ...]
     servers_digest: int = 0
     servers_age_s: float = -1.0
-    crashes: tuple[tuple[str, frozenset[str]], ...] = ()
+    suspects: tuple[SuspectReport, ...] = ()
     has_fast_link: bool = True
     statements: tuple[ServerStatement, ...] = ()
 
@@ -147,9 +165,8 @@
         sequence=report.sequence,
         configVersion=report.config_version,
         peers=min(report.router_count, 0xFFFF),
-        crashes=[
-            {"digest": digest, "crashIds": sorted(crash_ids)[:MAX_CRASH_IDS_PER_DIGEST]}
-            for digest, crash_ids in report.crashes[:MAX_CRASH_DIGESTS]
+        suspects=[
+            _encode_suspect(suspect) for suspect in report.suspects[:MAX_SUSPECTS]
         ],
         hasFastLink=report.has_fast_link,
         serversDigest=report.servers_digest,
@@ -176,6 +193,36 @@
     return message.to_bytes_packed()
 
 
+def _encode_suspect(suspect: SuspectReport) -> dict[str, object]:
+    answer_age_ms = 0
+    if suspect.answer_age_s is not None:
+        answer_age_ms = 1 + _encode_age_ms(suspect.answer_age_s)
+    return {
+        "contentHash": suspect.content_hash,
+        "isRequest": suspect.is_request,
+        "crashes": [
+            {"crashHash": crash, "ageMs": _encode_age_ms(age_s)}
+            for crash, age_s in suspect.crash_ages_s[:MAX_CRASHES_PER_SUSPECT]
+        ],
+        "answerAgeMs": answer_age_ms,
+    }
+
+
+def _encode_age_ms(age_s: float) -> int:
+    return min(round(age_s * 1000), 0xFFFF_FFFE)
+
+
+def _decode_suspect(entry) -> SuspectReport:
+    return SuspectReport(
+        content_hash=entry.contentHash,
+        is_request=entry.isRequest,
+        crash_ages_s=tuple(
+            (crash.crashHash, crash.ageMs / 1000) for crash in entry.crashes
+        ),
+        answer_age_s=(entry.answerAgeMs - 1) / 1000 if entry.answerAgeMs else None,
+    )
+
+
 def decode_report(data: bytes) -> RouterReport | Failure:
     """Decode a report.
 
@@ -206,9 +253,7 @@
                 )
                 for load in message.loads
             ),
-            crashes=tuple(
-                (entry.digest, frozenset(entry.crashIds)) for entry in message.crashes
-            ),
+            suspects=tuple(_decode_suspect(entry) for entry in message.suspects),
             has_fast_link=message.hasFastLink,
             servers_digest=message.serversDigest,
             servers_age_s=message.serversAgeMs / 1000,
@@ -230,12 +275,12 @@
     lengths = [
         ("loads", len(message.loads), MAX_LOADS),
         ("statements", len(message.statements), MAX_STATEMENTS),
-        ("crashes", len(message.crashes), MAX_CRASH_DIGESTS),
+        ("suspects", len(message.suspects), MAX_SUSPECTS),
     ]
-    if len(message.crashes) <= MAX_CRASH_DIGESTS:
+    if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
-            ("crash ids", len(entry.crashIds), MAX_CRASH_IDS_PER_DIGEST)
-            for entry in message.crashes
+            ("crashes", len(entry.crashes), MAX_CRASHES_PER_SUSPECT)
+            for entry in message.suspects
         ]
     for name, length, limit in lengths:
         if length > limit:
--- a/bilberryspring/connection/tests/test_router_reports.py
+++ b/bilberryspring/connection/tests/test_router_reports.py
@@ -8,14 +8,17 @@
 
 from bilberryspring.connection import router_reports
 from bilberryspring.connection.router_reports import (
+    MAX_CRASHES_PER_SUSPECT,
     MAX_LOADS,
     MAX_REPORT_BYTES,
     MAX_STATEMENTS,
+    MAX_SUSPECTS,
     RouterLoad,
     RouterReport,
     ServerStatement,
     SnapshotEntry,
     StoreSnapshot,
+    SuspectReport,
     decode_report,
     decode_snapshot,
     encode_report,
@@ -32,6 +35,10 @@
     report = replace(
         make_report([RouterLoad(2**63, 3, 4000, 5000, True)]),
         statements=(ServerStatement(2**62, 17, 0.25),),
+        suspects=(
+            SuspectReport(2**63 + 1, False, ((2**31, 0.25), (7, 600.0)), 0.0),
+            SuspectReport(5, True, ((9, 0.001),), None),
+        ),
     )
     assert decode_report(encode_report(report)) == report
 
@@ -44,7 +51,12 @@
     statements = tuple(
         ServerStatement(2**64 - 1 - i, 60_000, 60.0) for i in range(MAX_STATEMENTS * 2)
     )
-    report = replace(make_report(loads), statements=statements)
+    crashes = tuple((2**32 - 1 - i, 1e6) for i in range(MAX_CRASHES_PER_SUSPECT * 2))
+    suspects = tuple(
+        SuspectReport(2**64 - 1 - i, True, crashes, 1e6)
+        for i in range(MAX_SUSPECTS * 2)
+    )
+    report = replace(make_report(loads), statements=statements, suspects=suspects)
     assert len(encode_report(report)) <= MAX_REPORT_BYTES
 
 
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections import deque
 
-from bilberryspring.capability.backend_calls import BackendResponseHead, ServerLoad
+from bilberryspring.capability.backend_calls import (
+    BackendResponseHead,
+    Reachability,
+    ServerLoad,
+)
 from bilberryspring.capability.routing import (
     BackendServer,
     ExecutionRule,
@@ -175,16 +179,17 @@
         connection.send(_encode_request(server, request, time_left_s))
         return ServerExchange(connection, request.request_id, self, server)
 
-    async def is_down(self, server: BackendServer) -> bool:
-        """Return whether connections to a server's address fail.
+    async def check_reachability(self, server: BackendServer) -> Reachability:
+        """Try to connect to a server's address.
 
         :param server: server whose connection broke.
         """
         opened = await open_connection(server.host, server.port, PROBE_TIMEOUT_S)
         if isinstance(opened, ConnectionFailure):
-            return True
+            is_refused = opened.is_refused
+            return Reachability.REFUSED if is_refused else Reachability.SILENT
         self.release_connection(server, opened)
-        return False
+        return Reachability.REACHABLE
 
     def release_connection(
         self, server: BackendServer, connection: BackendConnection
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -40,11 +40,11 @@
 from bilberryspring.process.router_metrics import make_router_metrics
 from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
-from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.dispatcher import make_dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
 from bilberryspring.request.relay import make_relay
+from bilberryspring.request.suspect_contents import make_suspect_contents
 
 __all__ = ["FrontRouter", "main", "make_front_router"]
 
@@ -102,14 +102,14 @@
             settings.retry_window_s,
             lambda: asyncio.get_running_loop().time(),
         )
-        self._crash_records = make_crash_records()
+        self._suspects = make_suspect_contents()
         self._metrics = make_router_metrics(self._servers)
         self._relay = make_relay(
             self._server_calls,
             self._dispatcher,
             self._servers,
             self._retry_budget,
-            self._crash_records,
+            self._suspects,
             self._metrics.observe,
         )
         self._configuration_watcher = ConfigurationWatcher(
@@ -130,7 +130,7 @@
             self._make_snapshot,
             self._server_watcher,
             self._apply_snapshot,
-            self._crash_records,
+            self._suspects,
             settings.link_mbps >= MIN_FAST_LINK_MBPS,
         )
         self._server_watcher.is_store_watcher = self._peers.is_watcher
@@ -167,6 +167,10 @@
                 "Headers of servers that could not be decoded",
                 lambda: self._server_calls.unreadable_values.counts.total(),
             ),
+            "contents_quarantined": (
+                "Contents that requests must not have because servers crash on them",
+                self._suspects.count_quarantined,
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from bilberryspring.capability.backend_calls import ServerLoad
+from bilberryspring.capability.backend_calls import Reachability, ServerLoad
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.connection.tests.stream_server import serve_streams
 from bilberryspring.platform import backend_calls, unreadable_values
@@ -146,11 +146,11 @@
 async def test_probe_detects_whether_a_server_listens():
     scripted_server = ScriptedServer()
     server, calls = await scripted_server.start(), make_server_calls()
-    assert not await calls.is_down(server)
+    assert await calls.check_reachability(server) is Reachability.REACHABLE
     scripted_server.server.close()
     await scripted_server.server.wait_closed()
     calls.close()
-    assert await calls.is_down(server)
+    assert await calls.check_reachability(server) is Reachability.REFUSED
     found = await send_request(calls, server, "a")
     assert found.kind is ErrorKind.BACKEND_UNREACHABLE
 
--- a/bilberryspring/policy/tests/fleet_replay.py
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -18,9 +18,9 @@
 from bilberryspring.load.virtual_clock import run_on_virtual_clock
 from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
-from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.dispatcher import make_dispatcher
 from bilberryspring.request.reservations import Reservation
+from bilberryspring.request.suspect_contents import make_suspect_contents
 from bilberryspring.request.tests.relay_fixtures import (
     ENGINE,
     make_prompt,
@@ -338,6 +338,7 @@
         self.dispatcher = make_dispatcher(
             self.table, "z", LOAD_BOUND_FACTOR, read_clock=loop.time
         )
+        self.suspects = make_suspect_contents(loop.time)
         self.peers = make_router_peers(
             f"r{number}",
             self.ip,
@@ -347,7 +348,7 @@
             lambda _: None,
             _Feed(),
             lambda _: None,
-            make_crash_records(),
+            self.suspects,
             read_clock=loop.time,
         )
         network.peers[self.ip] = self.peers
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -15,9 +15,9 @@
 
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import (
-    MAX_CRASH_DIGESTS,
     MAX_LOADS,
     MAX_STATEMENTS,
+    MAX_SUSPECTS,
     RouterLoad,
     RouterReport,
     ServerStatement,
@@ -33,12 +33,16 @@
     PeerLoad,
     ServerTable,
 )
-from bilberryspring.request.crash_records import CrashRecords
 from bilberryspring.request.errors import Failure
+from bilberryspring.request.suspect_contents import SuspectContents
 
 __all__ = ["PeerView", "RouterPeers", "make_router_peers"]
 
 REPORT_INTERVAL_S = 0.25
+# News of crashes are reported after this time, with others that arrive meanwhile.
+NEWS_DELAY_S = 0.02
+# A router sends news no sooner than this after its last report of news.
+MIN_NEWS_INTERVAL_S = 0.1
 MAX_FANOUT = 10
 MIN_FANOUT = 3
 # A node may spend 10 KB/s on control traffic; the rest is left for snapshots.
@@ -111,7 +115,7 @@
         whether to include the configuration.
     :param feed: source of the server list and of the list's age.
     :param apply_snapshot: applies a snapshot of another router.
-    :param crashes: records of request contents that crashed servers.
+    :param suspects: evidence on contents of requests that may crash servers.
     :param has_fast_link: whether other routers should prefer this one for snapshots and
         as a watcher.
     :param read_clock: monotonic clock, in seconds.
@@ -127,7 +131,7 @@
         make_snapshot: Callable[[bool], StoreSnapshot],
         feed: ServerListFreshness,
         apply_snapshot: Callable[[StoreSnapshot], None],
-        crashes: CrashRecords,
+        suspects: SuspectContents,
         has_fast_link: bool = True,
         read_clock: Callable[[], float] = time.monotonic,
     ):
@@ -140,10 +144,13 @@
         self._make_snapshot = make_snapshot
         self._feed = feed
         self._apply_snapshot = apply_snapshot
-        self._crashes = crashes
+        self._suspects = suspects
+        suspects.news_callbacks.append(self._report_soon)
         self._has_fast_link = has_fast_link
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
+        self._news_timer: asyncio.TimerHandle | None = None
+        self._news_sent_s = 0.0
         self._fanout = MAX_FANOUT
         self._peer_views: dict[str, PeerView] = {}
         self._address_added_s: dict[str, float] = {}
@@ -170,6 +177,9 @@
         """Stop listening and cancel open snapshot requests."""
         for task in self._snapshot_requests:
             task.cancel()
+        if self._news_timer is not None:
+            self._news_timer.cancel()
+            self._news_timer = None
         if self._transport is not None:
             self._transport.close()
         if self._snapshot_server is not None:
@@ -223,8 +233,7 @@
             record = self._servers.find_by_hash(statement.server)
             if record is not None:
                 self._servers.add_statement(record, statement.requests, statement.age_s)
-        for digest, crash_ids in report.crashes:
-            self._crashes.add_crashes(digest, crash_ids)
+        self._suspects.merge(report.suspects)
 
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
@@ -236,6 +245,20 @@
             self._update_peer_loads(now_s)
             self._request_if_behind(now_s)
 
+    def _report_soon(self) -> None:
+        """Report news ahead of the next regular report."""
+        if self._news_timer is not None or self._transport is None:
+            return
+        next_s = self._news_sent_s + MIN_NEWS_INTERVAL_S
+        delay_s = max(NEWS_DELAY_S, next_s - self._read_clock())
+        loop = asyncio.get_running_loop()
+        self._news_timer = loop.call_later(delay_s, self._report_news)
+
+    def _report_news(self) -> None:
+        self._news_timer = None
+        self._news_sent_s = self._read_clock()
+        self._send_report(self._news_sent_s)
+
     def _remove_expired(self, now_s: float) -> None:
         for ip, view in list(self._peer_views.items()):
             if now_s - view.report_received_s > PEER_TIMEOUT_S:
@@ -271,7 +294,7 @@
                 tuple(loads[:MAX_LOADS]),
                 self._servers.digest,
                 self._feed.age_s,
-                tuple(self._crashes.list_recent(MAX_CRASH_DIGESTS)),
+                self._suspects.list_reports(MAX_SUSPECTS),
                 self._has_fast_link,
                 self._list_statements(now_s),
             )
@@ -446,7 +469,7 @@
     make_snapshot: Callable[[bool], StoreSnapshot],
     feed: ServerListFreshness,
     apply_snapshot: Callable[[StoreSnapshot], None],
-    crashes: CrashRecords,
+    suspects: SuspectContents,
     has_fast_link: bool = True,
     read_clock: Callable[[], float] = time.monotonic,
 ) -> RouterPeers:
@@ -461,7 +484,7 @@
         whether to include the configuration.
     :param feed: source of the server list and of the list's age.
     :param apply_snapshot: applies a snapshot of another router.
-    :param crashes: records of request contents that crashed servers.
+    :param suspects: evidence on contents of requests that may crash servers.
     :param has_fast_link: whether other routers should prefer this one for snapshots and
         as a watcher.
     :param read_clock: monotonic clock, in seconds.
@@ -475,7 +498,7 @@
         make_snapshot,
         feed,
         apply_snapshot,
-        crashes,
+        suspects,
         has_fast_link,
         read_clock,
     )
--- a/bilberryspring/process/tests/test_router_peers.py
+++ b/bilberryspring/process/tests/test_router_peers.py
@@ -18,16 +18,18 @@
     ServerStatement,
     SnapshotEntry,
     StoreSnapshot,
+    SuspectReport,
     encode_report,
 )
+from bilberryspring.policy.quarantine import Content
 from bilberryspring.process.router_peers import (
     MAX_FANOUT,
     WATCHER_COUNT,
     make_router_peers,
 )
 from bilberryspring.process.server_table import PeerLoad, make_server_table
-from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.errors import Failure
+from bilberryspring.request.suspect_contents import make_suspect_contents
 from bilberryspring.request.tests.relay_fixtures import make_server
 
 
@@ -56,7 +58,7 @@
         self.version = version
         self.feed = Feed(age_s)
         self.applied_snapshots = []
-        self.crashes = make_crash_records()
+        self.suspects = make_suspect_contents()
         self.peers = make_router_peers(
             name,
             ip,
@@ -66,7 +68,7 @@
             self.make_snapshot,
             self.feed,
             self.applied_snapshots.append,
-            self.crashes,
+            self.suspects,
             has_fast_link,
         )
 
@@ -139,8 +141,9 @@
 
 def test_crashes_reported_by_another_router_are_recorded():
     node = Node()
-    node.receive_report("x", "127.0.0.2", crashes=(("d", frozenset({"a/1", "b/1"})),))
-    assert isinstance(node.crashes.check_quarantine("d"), Failure)
+    reported = SuspectReport(7, False, ((1, 0.5), (2, 0.1)), None)
+    node.receive_report("x", "127.0.0.2", suspects=(reported,))
+    assert isinstance(node.suspects.admit([Content(7, False)]), Failure)
 
 
 def test_malformed_reports_are_ignored():
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -14,13 +14,14 @@
     BackendResponseHead,
     CallerResponse,
     Exchange,
+    Reachability,
 )
 from bilberryspring.capability.routing import (
     ExecutionRule,
     IncomingRequest,
     PoolLimits,
 )
-from bilberryspring.identifiers import digest_content
+from bilberryspring.policy.quarantine import Content
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_metrics import RequestObservation
@@ -29,7 +30,6 @@
     ServerRecord,
     ServerTable,
 )
-from bilberryspring.request.crash_records import CrashRecords
 from bilberryspring.request.dispatcher import Dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 from bilberryspring.request.event_splitter import (
@@ -39,6 +39,11 @@
 from bilberryspring.request.fleet_budget import FleetRetryBudget
 from bilberryspring.request.reservations import Reservation
 from bilberryspring.request.response_progress import Attempt, ResponseProgress
+from bilberryspring.request.suspect_contents import (
+    SuspectContents,
+    hash_crash,
+    list_contents,
+)
 
 __all__ = ["Relay", "make_relay"]
 
@@ -56,6 +61,9 @@
 MIN_STALL_S = 1.0
 # A server that sends nothing at all for this multiple is silent.
 SILENT_PAUSE_FACTOR = 2.0
+# A request that may have crashed a server waits for reports of other crashes before it
+# is sent to another.
+SUSPECT_RETRY_DELAY_S = 0.3
 _SUCCESS = None
 
 
@@ -66,7 +74,7 @@
     :param dispatcher: assigns requests to servers.
     :param servers: this router's view of the state of the servers.
     :param budget: retry budget that is shared with the other routers.
-    :param crashes: digests of contents under which servers crashed.
+    :param suspects: evidence on contents of requests that may crash servers.
     :param observe: called with the result and timing of each request.
     """
 
@@ -76,14 +84,14 @@
         dispatcher: Dispatcher,
         servers: ServerTable,
         budget: FleetRetryBudget,
-        crashes: CrashRecords,
+        suspects: SuspectContents,
         observe: Callable[[RequestObservation], None] = lambda _: None,
     ):
         self._calls = calls
         self._dispatcher = dispatcher
         self._servers = servers
         self._budget = budget
-        self._crashes = crashes
+        self._suspects = suspects
         self._crash_checks: set[asyncio.Task[None]] = set()
         self._observe = observe
         self._stop_s = math.inf
@@ -115,13 +123,19 @@
         must_end_s = min(
             request.deadline_s, arrived_s + request.route.timeout_s, self._stop_s
         )
-        progress = ResponseProgress(answer, make_event_splitter(), pool, must_end_s)
+        progress = ResponseProgress(
+            answer,
+            make_event_splitter(),
+            pool,
+            must_end_s,
+            contents=list_contents(request),
+        )
         outcome: Failure | None = make_failure(ErrorKind.DEADLINE_EXCEEDED)
         timeout = asyncio.timeout(max(must_end_s - read_boot_time_s(), 0))
         try:
             async with timeout:
                 self._timeouts.add(timeout)
-                outcome = await self._try_servers(request, pool, progress, must_end_s)
+                outcome = await self._try_servers(request, progress)
         except TimeoutError:
             if request.attempts == 0:
                 outcome = make_failure(
@@ -171,21 +185,15 @@
     async def _try_servers(
         self,
         request: IncomingRequest,
-        pool: PoolLimits,
         progress: ResponseProgress,
-        must_end_s: float,
     ) -> Failure | None:
         last_failure: Failure | None = None
-        digest = _digest_request(request)
         while True:
-            crash_verdict = self._crashes.check_quarantine(digest)
-            if isinstance(crash_verdict, Failure):
-                return last_failure or crash_verdict
             replacement = progress.replacement
             if replacement is not None:
                 reservation = replacement.reservation
             else:
-                reservation = await self._dispatcher.acquire(request, pool, must_end_s)
+                reservation = await self._reserve(request, progress)
             if isinstance(reservation, Failure):
                 return last_failure or reservation
             if last_failure is None:
@@ -202,13 +210,9 @@
                 return last_failure
             result = await self._try_server(request, reservation, progress)
             if not isinstance(result, Failure):
-                self._crashes.clear(digest)
+                self._suspects.record_answer(progress.contents)
                 return result
-            crash_check = asyncio.create_task(
-                self._check_for_crash(digest, reservation.record, result)
-            )
-            self._crash_checks.add(crash_check)
-            crash_check.add_done_callback(self._crash_checks.discard)
+            crash_check = self._start_crash_check(progress, reservation.record, result)
             request.tried_server_ids.add(reservation.record.server.server_id)
             log_event(
                 "try_failed",
@@ -238,19 +242,70 @@
             if request.attempts >= request.route.max_servers + 1:
                 return last_failure
             await crash_check
+            if self._suspects.is_unproven_suspect(progress.contents):
+                await asyncio.sleep(SUSPECT_RETRY_DELAY_S)
+
+    async def _reserve(
+        self, request: IncomingRequest, progress: ResponseProgress
+    ) -> Reservation | Failure:
+        """Reserve capacity for a request unless its contents may crash the server."""
+        refusal = self._suspects.admit(progress.contents)
+        if refusal is not None:
+            return refusal
+        reservation = await self._dispatcher.acquire(
+            request, progress.pool, progress.must_end_s
+        )
+        if isinstance(reservation, Failure):
+            return reservation
+        # A crash may have become known while the request waited.
+        refusal = self._suspects.find_refusal(progress.contents)
+        if refusal is not None:
+            self._dispatcher.release(reservation)
+            return refusal
+        return reservation
+
+    def _start_crash_check(
+        self, progress: ResponseProgress, record: ServerRecord, failure: Failure
+    ) -> asyncio.Task[None]:
+        suspects = () if progress.is_proven else progress.contents
+        crash_check = asyncio.create_task(
+            self._check_for_crash(suspects, record, failure)
+        )
+        self._crash_checks.add(crash_check)
+        crash_check.add_done_callback(self._crash_checks.discard)
+        return crash_check
 
     async def _check_for_crash(
-        self, digest: str, record: ServerRecord, failure: Failure
+        self, suspects: tuple[Content, ...], record: ServerRecord, failure: Failure
     ) -> None:
-        """Record a crash of the server if that is why the request failed."""
-        if failure.kind is not ErrorKind.BACKEND_FAILED:
+        """Record a crash of the server if that is why the request failed.
+
+        :param suspects: contents of the request; none if the server had answered.
+        :param record: record of the server.
+        :param failure: the failure of the request.
+        """
+        if (
+            failure.kind is not ErrorKind.BACKEND_FAILED
+            or failure.outcome is not Outcome.UNKNOWN
+        ):
             return
         server = record.server
-        if failure.outcome is Outcome.UNKNOWN and await self._calls.is_down(server):
-            now_s = asyncio.get_running_loop().time()
-            record.record_failure("the server is down", now_s, is_down=True)
-            crash_id = f"{server.server_id}/{server.started_at_ms}"
-            self._crashes.add_crashes(digest, {crash_id})
+        reachability = await self._calls.check_reachability(server)
+        if reachability is Reachability.REACHABLE:
+            return
+        now_s = asyncio.get_running_loop().time()
+        record.record_failure("the server is down", now_s, is_down=True)
+        # The process of a server that sends nothing may still run behind a cut.
+        if suspects and reachability is Reachability.REFUSED:
+            crash = hash_crash(server.server_id, server.started_at_ms)
+            log_event(
+                "server_crashed",
+                level="WARNING",
+                server=server.server_id,
+                crash=f"{crash:08x}",
+                contents=",".join(f"{each.content_hash:016x}" for each in suspects),
+            )
+            self._suspects.record_crash(crash, suspects)
 
     async def _send(
         self,
@@ -305,6 +360,7 @@
         progress: ResponseProgress,
     ) -> Failure | None:
         attempt, progress.replacement = progress.replacement, None
+        progress.begin_try()
         if attempt is None:
             attempt = await self._send(request, reservation, progress)
         if isinstance(attempt, Failure):
@@ -452,6 +508,8 @@
                 return make_failure(ErrorKind.BACKEND_FAILED, reason)
             if events:
                 reservation.record.record_response(stream_token, loop.time())
+                if progress.record_events(loop.time()):
+                    self._suspects.record_answer(progress.contents)
             await answer.write(events)
             if splitter.is_event_too_long:
                 reason = f"an event of more than {MAX_EVENT_BYTES} bytes"
@@ -541,6 +599,9 @@
         )
         if not may_retry or not self._budget.can_spend():
             return False
+        refusal = self._suspects.find_refusal(progress.contents)
+        if refusal is not None or self._suspects.is_unproven_suspect(progress.contents):
+            return False
         request.tried_server_ids.add(reservation.record.server.server_id)
         spare = self._dispatcher.acquire_now(request, progress.pool)
         if isinstance(spare, Failure):
@@ -554,6 +615,7 @@
             failure = await self._read_replacement_head(request, attempt, progress)
         if failure is None:
             return True
+        self._start_crash_check(progress, spare.record, failure)
         log_event(
             "try_failed",
             level="WARNING",
@@ -592,18 +654,12 @@
         return failure
 
 
-def _digest_request(request: IncomingRequest) -> str:
-    """Return a digest that is the same for every try of a request."""
-    content = f"{request.workspace} {request.method} {request.target}\n".encode()
-    return digest_content(content + request.body)
-
-
 def make_relay(
     calls: BackendCalls,
     dispatcher: Dispatcher,
     servers: ServerTable,
     budget: FleetRetryBudget,
-    crashes: CrashRecords,
+    suspects: SuspectContents,
     observe: Callable[[RequestObservation], None] = lambda _: None,
 ) -> Relay:
     """Return a relay.
@@ -612,7 +668,7 @@
     :param dispatcher: assigns requests to servers.
     :param servers: this router's view of the state of the servers.
     :param budget: retry budget that is shared with the other routers.
-    :param crashes: digests of contents under which servers crashed.
+    :param suspects: evidence on contents of requests that may crash servers.
     :param observe: called with the result and timing of each request.
     """
-    return Relay(calls, dispatcher, servers, budget, crashes, observe)
+    return Relay(calls, dispatcher, servers, budget, suspects, observe)
--- a/bilberryspring/request/response_progress.py
+++ b/bilberryspring/request/response_progress.py
@@ -1,6 +1,6 @@
 """Progress of a response that is relayed to the caller."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bilberryspring.capability.backend_calls import (
     BackendResponseHead,
@@ -8,11 +8,16 @@
     Exchange,
 )
 from bilberryspring.capability.routing import PoolLimits
+from bilberryspring.policy.quarantine import Content
 from bilberryspring.request.event_splitter import EventSplitter
 from bilberryspring.request.reservations import Reservation
 
 __all__ = ["Attempt", "ResponseProgress"]
 
+# A server that crashes when it begins to answer a request does so within this time
+# after the first event.
+CRASH_DELAY_S = 0.25
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -43,6 +48,9 @@
     :param time_to_first_byte_s: time from reading the request to the head of the
         response, in seconds; ``None`` before it.
     :param status: HTTP status code sent to the caller; zero before it.
+    :param contents: contents of the request that may crash servers.
+    :param is_proven: whether the server of the current try has begun to answer and has
+        not crashed.
     """
 
     answer: CallerResponse
@@ -52,6 +60,27 @@
     replacement: Attempt | None = None
     time_to_first_byte_s: float | None = None
     status: int = 0
+    contents: tuple[Content, ...] = ()
+    is_proven: bool = False
+    _first_event_s: float | None = field(default=None, init=False)
+
+    def begin_try(self) -> None:
+        """Record that the request is sent to a server."""
+        self._first_event_s, self.is_proven = None, False
+
+    def record_events(self, now_s: float) -> bool:
+        """Record that complete events of a stream arrived from the current server.
+
+        :param now_s: monotonic time.
+        :returns: whether these prove for the first time that the contents of the
+            request do not crash the server.
+        """
+        if self._first_event_s is None:
+            self._first_event_s = now_s
+        if self.is_proven or now_s - self._first_event_s < CRASH_DELAY_S:
+            return False
+        self.is_proven = True
+        return True
 
     def start(
         self, head: BackendResponseHead, length_bytes: int | None, age_s: float
--- a/bilberryspring/request/tests/relay_fixtures.py
+++ b/bilberryspring/request/tests/relay_fixtures.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from bilberryspring.capability.backend_calls import BackendResponseHead
+from bilberryspring.capability.backend_calls import BackendResponseHead, Reachability
 from bilberryspring.capability.routing import (
     BackendServer,
     DirectRoute,
@@ -16,11 +16,11 @@
 )
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import make_server_table
-from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.dispatcher import make_dispatcher
 from bilberryspring.request.errors import ErrorKind, make_failure
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
 from bilberryspring.request.relay import make_relay
+from bilberryspring.request.suspect_contents import make_suspect_contents
 
 ENGINE = EngineLimits(slots=4, cache_tokens=100_000, chunk_tokens=9, can_fetch=True)
 SERVICE_POOL = PoolLimits("desk", 100, None)
@@ -50,12 +50,14 @@
     return Prompt("m", sum(part.tokens for part in found), output_tokens, found)
 
 
-def make_request(route, deadline_s=3.0, request_id="q1", rank_order=2, prompt=None):
+def make_request(
+    route, deadline_s=3.0, request_id="q1", rank_order=2, prompt=None, target="/x"
+):
     now_s = read_boot_time_s()
     return IncomingRequest(
         request_id=request_id,
         method="POST",
-        target="/x",
+        target=target,
         headers=[],
         body=b"",
         route=route,
@@ -136,8 +138,9 @@
     closed_at_s: list = field(default_factory=list)
     down: set = field(default_factory=set)
 
-    async def is_down(self, server):
-        return server.server_id in self.down
+    async def check_reachability(self, server):
+        is_down = server.server_id in self.down
+        return Reachability.REFUSED if is_down else Reachability.REACHABLE
 
     async def begin(self, server, request, time_left_s):
         script = self.scripts[len(self.sent)]
@@ -186,7 +189,7 @@
 
 
 async def relay(
-    route, scripts, servers=("a", "b", "c"), extra=20, crashes=None, down=(), **request
+    route, scripts, servers=("a", "b", "c"), extra=20, suspects=None, down=(), **request
 ):
     """Relay one request; return its recorded answer and the backend calls."""
     table = make_server_table()
@@ -197,7 +200,7 @@
     dispatcher = make_dispatcher(table, "z", 2.0)
     answer = RecordedAnswer()
     tested_relay = make_relay(
-        calls, dispatcher, table, budget, crashes or make_crash_records()
+        calls, dispatcher, table, budget, suspects or make_suspect_contents()
     )
     await tested_relay.relay(make_request(route, **request), SERVICE_POOL, answer)
     await asyncio.gather(*tested_relay._crash_checks)
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -11,15 +11,13 @@
 
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.process.clock import read_boot_time_s
-from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
-from bilberryspring.request.relay import (
-    MIN_STALL_S,
-    STALL_PAUSE_FACTOR,
-)
+from bilberryspring.request.relay import MIN_STALL_S, STALL_PAUSE_FACTOR
+from bilberryspring.request.suspect_contents import make_suspect_contents
 from bilberryspring.request.tests.relay_fixtures import (
     make_head,
     make_lost_connection,
+    make_prompt,
     make_route,
     relay,
 )
@@ -30,6 +28,7 @@
 STREAM_ROUTE = make_route(ExecutionRule.STREAM)
 COMPLETE_RESPONSE = [make_head(), b"answer", None]
 COMPLETE_STREAM = [make_head(), b"id: 1\ndata: answer\n\n", None]
+COMPLETE_STREAM = [make_head(), b"id: 1\n\n", None]
 UNREACHABLE = make_failure(ErrorKind.BACKEND_UNREACHABLE)
 
 
@@ -167,18 +166,18 @@
 
 
 async def test_content_that_crashed_two_servers_is_quarantined():
-    crashes = make_crash_records()
-    for _ in range(3):
+    suspects = make_suspect_contents()
+    for down in ("a", "b"):
         answer, calls = await relay(
             ONCE_ROUTE,
             [[make_lost_connection()]],
-            servers=("a", "b"),
-            down=("a", "b"),
-            crashes=crashes,
+            servers=(down,),
+            down=(down,),
+            suspects=suspects,
         )
-        if not calls.sent:
-            break
-        crashes.add_crashes(next(iter(crashes.list_recent(1)))[0], {"b/1"})
+        assert len(calls.sent) == 1
+    answer, calls = await relay(ONCE_ROUTE, [COMPLETE_RESPONSE], suspects=suspects)
+    assert not calls.sent
     assert answer.failure.kind is ErrorKind.REQUEST_QUARANTINED
     assert answer.failure.outcome is Outcome.NOT_RUN
     assert answer.failure.retry_after_s > 0
@@ -186,23 +185,90 @@
 
 async def test_repeatable_request_that_crashes_servers_is_not_sent_to_a_third():
     route = make_route(ExecutionRule.REPEATABLE, max_servers=5)
-    crashes = make_crash_records()
+    suspects = make_suspect_contents()
     answer, calls = await relay(
-        route, [[make_lost_connection()]] * 5, down=("a", "b", "c"), crashes=crashes
+        route, [[make_lost_connection()]] * 5, down=("a", "b", "c"), suspects=suspects
     )
     assert len(calls.sent) == 2
-    answer, calls = await relay(route, [COMPLETE_RESPONSE], crashes=crashes)
+    answer, calls = await relay(route, [COMPLETE_RESPONSE], suspects=suspects)
     assert not calls.sent
 
 
 async def test_lost_responses_of_live_servers_do_not_count_as_crashes():
-    crashes = make_crash_records()
+    suspects = make_suspect_contents()
     for _ in range(4):
-        await relay(ONCE_ROUTE, [[make_lost_connection()]], crashes=crashes)
-    answer, _ = await relay(ONCE_ROUTE, [COMPLETE_RESPONSE], crashes=crashes)
+        await relay(ONCE_ROUTE, [[make_lost_connection()]], suspects=suspects)
+    answer, _ = await relay(ONCE_ROUTE, [COMPLETE_RESPONSE], suspects=suspects)
     assert answer.is_finished
 
 
+async def crash_servers(suspects, servers, *parts):
+    """Send a request with the given prompt parts to each server, which crashes."""
+    for server in servers:
+        await relay(
+            STREAM_ROUTE,
+            [[make_lost_connection()]],
+            servers=(server,),
+            down=(server,),
+            suspects=suspects,
+            prompt=make_prompt(*[(part, 100) for part in parts], (f"own-{server}", 10)),
+            target=f"/{server}",
+        )
+
+
+async def relay_prompt(suspects, *parts):
+    prompt = make_prompt(*[(part, 100) for part in parts], ("own", 10))
+    return await relay(
+        STREAM_ROUTE, [COMPLETE_STREAM], suspects=suspects, prompt=prompt
+    )
+
+
+async def test_prompt_part_that_crashes_servers_reaches_no_third_server():
+    suspects = make_suspect_contents()
+    await relay_prompt(suspects, "instructions")
+    await crash_servers(suspects, ("a", "b"), "instructions", "deadly")
+    answer, calls = await relay_prompt(suspects, "instructions", "deadly")
+    assert not calls.sent
+    assert answer.failure.kind is ErrorKind.REQUEST_QUARANTINED
+    assert answer.failure.outcome is Outcome.NOT_RUN
+    answer, _ = await relay_prompt(suspects, "instructions", "other")
+    assert answer.is_finished
+
+
+async def test_request_that_was_being_answered_is_no_suspect_of_a_crash():
+    suspects = make_suspect_contents()
+    for server in ("a", "b", "c"):
+        await relay(
+            STREAM_ROUTE,
+            [[make_head(), b"id: 1\n\n", 0.3, b"id: 2\n\n", make_lost_connection()]],
+            servers=(server,),
+            down=(server,),
+            suspects=suspects,
+            prompt=make_prompt(("shared", 100), ("own", 10)),
+        )
+    answer, _ = await relay_prompt(suspects, "shared")
+    assert answer.is_finished
+
+
+async def test_request_that_waited_while_its_content_was_quarantined_is_refused():
+    suspects = make_suspect_contents()
+    prompt = make_prompt(("deadly", 100), ("own", 10))
+    admit = suspects.admit
+
+    def admit_then_learn(contents):
+        refusal = admit(contents)
+        for crash in (1, 2):
+            suspects.record_crash(crash, contents)
+        return refusal
+
+    suspects.admit = admit_then_learn
+    answer, calls = await relay(
+        STREAM_ROUTE, [COMPLETE_RESPONSE], suspects=suspects, prompt=prompt
+    )
+    assert not calls.sent
+    assert answer.failure.kind is ErrorKind.REQUEST_QUARANTINED
+
+
 async def test_server_error_is_not_relayed_as_the_rest_of_a_stream():
     first = [make_head(), b"id: 1\n\n", make_lost_connection()]
     second = [make_head(500), b"why", None]
