Close connections in the handshake when a peer server closes

What others saw: a process that closed its peer server kept connections that were still being authenticated, and those it accepted in the same moment, open for up to 2 s (the authentication timeout). One that authenticated in that time became a link that nothing disconnected any more. A connection whose handshake was cancelled was never closed: the garbage collector closes its stream writer, which raises "Event loop is closed" if the loop has ended by then.

Cause: `PeerServer.close` disconnects the links, and a connection becomes a link only after its handshake.

Change: the server keeps the writers of handshakes and aborts them in `close`, refuses what is still accepted after it, and a handshake that ends in any other way than with a hello aborts its connection.

Test: closes the server 3 to 7 iterations of the event loop after a caller connected. Left out: 2 iterations, where asyncio's own accept step (`_accept_connection2`) holds the socket and doesn't close it at once after the listener has closed. No code of ours runs there.

--- a/bilberryspring/connection/peers.py
+++ b/bilberryspring/connection/peers.py
@@ -349,6 +349,8 @@
         self.links: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._sweep_task: asyncio.Task[None] | None = None
+        self._handshake_writers: set[asyncio.StreamWriter] = set()
+        self._is_closed = False
 
     async def start(self) -> None:
         """Start listening and monitoring accepted links.
@@ -388,18 +390,15 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        own_hello = make_own_hello(self.settings.instance_id)
-        try:
-            async with asyncio.timeout(AUTHENTICATION_TIMEOUT_S):
-                hello = await authenticate_as_listener(
-                    reader, writer, self.settings.fleet_secret, own_hello
-                )
-        except (OSError, TimeoutError):
+        if self._is_closed:
             writer.transport.abort()
             return
-        if isinstance(hello, Failure):
-            log_event("peer_rejected", reason=hello.reason)
-            writer.transport.abort()
+        self._handshake_writers.add(writer)
+        try:
+            hello = await self._authenticate(reader, writer)
+        finally:
+            self._handshake_writers.discard(writer)
+        if hello is None:
             return
         link = make_link(reader, writer, hello, self.process, self.on_request)
         self.links.add(link)
@@ -408,12 +407,36 @@
         finally:
             self.links.discard(link)
 
+    async def _authenticate(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> Hello | None:
+        """Return the hello of a connecting process, or abort the connection."""
+        own_hello = make_own_hello(self.settings.instance_id)
+        hello = None
+        try:
+            async with asyncio.timeout(AUTHENTICATION_TIMEOUT_S):
+                hello = await authenticate_as_listener(
+                    reader, writer, self.settings.fleet_secret, own_hello
+                )
+        except (OSError, TimeoutError):
+            return None
+        finally:
+            if not isinstance(hello, Hello):
+                writer.transport.abort()
+        if isinstance(hello, Failure):
+            log_event("peer_rejected", reason=hello.reason)
+            return None
+        return hello
+
     async def close(self) -> None:
         """Stop listening and close every accepted connection."""
+        self._is_closed = True
         if self._server is not None:
             self._server.close()
         if self._sweep_task is not None:
             self._sweep_task.cancel()
+        for writer in list(self._handshake_writers):
+            writer.transport.abort()
         for link in list(self.links):
             link.disconnect()
 
--- a/bilberryspring/connection/tests/test_peers.py
+++ b/bilberryspring/connection/tests/test_peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -297,3 +298,20 @@
     for writer in writers:
         writer.close()
     await server.close()
+
+
+@pytest.mark.parametrize("iterations", range(3, 8))
+async def test_closing_the_server_ends_connections_in_the_handshake(serve, iterations):
+    """Each number of event loop iterations leaves the handshake at another step."""
+    server = await serve()
+    with socket.create_connection((f"{ADDRESS_PREFIX}.1", 7000)) as client:
+        client.setblocking(False)
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        await server.close()
+        async with asyncio.timeout(1.0):
+            try:
+                while await asyncio.get_running_loop().sock_recv(client, 4096):
+                    pass
+            except ConnectionError:
+                pass
