--- a/bilberryspring/connection/tests/test_http_backend.py
+++ b/bilberryspring/connection/tests/test_http_backend.py
@@ -15,27 +15,35 @@
     ConnectionFailureKind,
     open_connection,
 )
+from bilberryspring.connection.tests.stream_server import make_stream_server
 
 OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nContent-Length: 2\r\n\r\nhi"
 
 
-async def serve(write_response):
-    """Start a server that responds to each connection with `write_response`."""
+@pytest.fixture
+async def send_request():
+    """Send a request to a server that responds to it with `write_response`.
 
-    async def handle(reader, writer):
-        await reader.read(100)
-        await write_response(writer)
-        writer.close()
+    The connection and the server are closed after the test.
+    """
+    opened = []
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    return server, server.sockets[0].getsockname()[1]
+    async def send(write_response):
+        async def handle(reader, writer):
+            await reader.read(100)
+            await write_response(writer)
+            writer.close()
 
+        server = make_stream_server(handle)
+        connection = await open_connection(*await server.start(), 1.0)
+        opened.append((server, connection))
+        connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        return connection
 
-async def send_request(write_response):
-    server, port = await serve(write_response)
-    connection = await open_connection("127.0.0.1", port, 1.0)
-    connection.send(b"GET / HTTP/1.1\r\n\r\n")
-    return server, connection
+    yield send
+    for server, connection in opened:
+        connection.close()
+        await server.close()
 
 
 async def read_all(connection):
@@ -55,52 +63,51 @@
     writer.transport.abort()
 
 
-async def test_connection_is_reusable_after_a_complete_response():
+async def test_connection_is_reusable_after_a_complete_response(send_request):
     ended = asyncio.Event()
 
     async def write_response(writer):
         writer.write(OK % b"1")
         await ended.wait()
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     head, body, end = await read_all(connection)
     assert (head.status, body, end) == (200, b"hi", None)
     assert connection.is_reusable
     ended.set()
-    server.close()
 
 
-async def test_connection_is_not_reusable_after_an_extra_response():
+async def test_connection_is_not_reusable_after_an_extra_response(send_request):
     async def write_response(writer):
         writer.write(OK % b"1" + OK % b"0")
         await asyncio.sleep(0.2)
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     _, body, _ = await read_all(connection)
     assert body == b"hi"
     await asyncio.sleep(0.05)
     assert not connection.is_reusable
-    server.close()
 
 
-async def test_responses_are_read_in_order_with_their_headers():
+async def test_responses_are_read_in_order_with_their_headers(send_request):
     async def write_response(writer):
         writer.write(OK % b"late" + OK % b"own")
         await asyncio.sleep(0.2)
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     late = await connection.read_head()
     own = await connection.read_head()
     assert late.find_header(b"attempt-id") == b"late"
     assert own.find_header(b"attempt-id") == b"own"
     assert await connection.read_chunk() == b"hi"
-    server.close()
 
 
 @pytest.mark.parametrize(
     ("ending", "expected"), [("close", None), ("reset", ConnectionFailureKind.RESET)]
 )
-async def test_close_delimited_body_is_complete_only_without_a_reset(ending, expected):
+async def test_close_delimited_body_is_complete_only_without_a_reset(
+    send_request, ending, expected
+):
     async def write_response(writer):
         writer.write(b"HTTP/1.1 200 OK\r\n\r\nabc")
         await writer.drain()
@@ -108,45 +115,41 @@
         if ending == "reset":
             reset_connection(writer)
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     _, body, end = await read_all(connection)
     assert body == b"abc"
     assert (end if end is None else end.kind) == expected
     assert not connection.is_reusable
-    server.close()
 
 
-async def test_truncated_body_fails_with_a_closed_connection():
+async def test_truncated_body_fails_with_a_closed_connection(send_request):
     async def write_response(writer):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     _, _, end = await read_all(connection)
     assert end.kind is ConnectionFailureKind.CLOSED
-    server.close()
 
 
-async def test_bytes_that_are_not_http_are_malformed():
+async def test_bytes_that_are_not_http_are_malformed(send_request):
     async def write_response(writer):
         writer.write(b"\x00\x01 no answer\r\n\r\n")
         await asyncio.sleep(0.2)
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     failure = await connection.read_head()
     assert failure.kind is ConnectionFailureKind.MALFORMED
     assert not connection.is_reusable
-    server.close()
 
 
-async def test_informational_response_is_skipped():
+async def test_informational_response_is_skipped(send_request):
     async def write_response(writer):
         writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" + OK % b"1")
         await asyncio.sleep(0.2)
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     head, body, _ = await read_all(connection)
     assert (head.status, body) == (200, b"hi")
-    server.close()
 
 
 async def test_connecting_without_a_listener_is_unreachable():
@@ -175,7 +178,7 @@
 
 @pytest.mark.parametrize("name", ENDLESS_RESPONSES)
 @pytest.mark.parametrize("pause_s", [0.0, 0.001])
-async def test_bytes_without_end_close_the_connection(name, pause_s):
+async def test_bytes_without_end_close_the_connection(send_request, name, pause_s):
     begin, more = ENDLESS_RESPONSES[name]
     sent_bytes = 0
     closed = asyncio.Event()
@@ -192,7 +195,7 @@
         except ConnectionError:
             closed.set()
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     async with asyncio.timeout(5):
         _, body, end = await read_all(connection)
         await closed.wait()
@@ -201,10 +204,9 @@
     assert not body
     # The sockets' buffers hold some megabytes that the connection never reads.
     assert sent_bytes < 8_000_000
-    server.close()
 
 
-async def test_body_of_another_response_without_end_closes_the_connection():
+async def test_body_of_another_response_without_end_closes_the_connection(send_request):
     async def write_response(writer):
         writer.write(OK_CHUNKED)
         try:
@@ -214,22 +216,20 @@
         except ConnectionError:
             pass
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     async with asyncio.timeout(5):
         assert (await connection.read_head()).status == 200
         # The head was that of another response, so the next one is awaited.
         end = await connection.read_head()
     assert isinstance(end, ConnectionFailure)
     assert end.kind is ConnectionFailureKind.MALFORMED
-    server.close()
 
 
-async def test_chunks_of_one_byte_are_a_sound_body():
+async def test_chunks_of_one_byte_are_a_sound_body(send_request):
     async def write_response(writer):
         writer.write(OK_CHUNKED + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n")
         await writer.drain()
 
-    server, connection = await send_request(write_response)
+    connection = await send_request(write_response)
     head, body, end = await read_all(connection)
     assert (head.status, len(body), end) == (200, 50_000, None)
-    server.close()
--- a/bilberryspring/connection/tests/test_link.py
+++ b/bilberryspring/connection/tests/test_link.py
@@ -13,6 +13,7 @@
 from bilberryspring.connection.frames import read_frame, write_frame
 from bilberryspring.connection.link import make_link
 from bilberryspring.connection.messages import Chunk, Hello, Reply
+from bilberryspring.connection.tests.stream_server import make_stream_server
 from bilberryspring.identifiers import InstanceId, RequestId, WorkspaceName
 from bilberryspring.process.accounting import make_ledger
 from bilberryspring.request.buffered_response import make_buffered_response
@@ -26,9 +27,8 @@
         await reader.read(1)
         writer.transport.abort()
 
-    server = await asyncio.start_server(reset, "127.0.0.1", 0)
-    address = server.sockets[0].getsockname()
-    reader, writer = await asyncio.open_connection(*address)
+    server = make_stream_server(reset)
+    reader, writer = await asyncio.open_connection(*await server.start())
     process = SimpleNamespace(ledger=make_ledger())
     return server, make_link(reader, writer, Hello(InstanceId("router-1")), process)
 
@@ -45,7 +45,8 @@
     server, link = await open_unread_link()
     await wait_until_lost(link)
     sent_bytes = link.send(Chunk(RequestId("r"), 0, b"a"))
-    server.close()
+    link.disconnect()
+    await server.close()
     return sent_bytes
 
 
@@ -56,7 +57,8 @@
     await wait_until_lost(link)
     response.append(b"a")
     response.finish(200, "text/plain")
-    server.close()
+    link.disconnect()
+    await server.close()
     return response
 
 
@@ -78,15 +80,15 @@
             call = await read_frame(reader)
             write_frame(writer, Reply(call.call_id, b"answer", kind, "why"))
 
-    server = await asyncio.start_server(serve_replies, "127.0.0.1", 0)
-    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    server = make_stream_server(serve_replies)
+    reader, writer = await asyncio.open_connection(*await server.start())
     process = SimpleNamespace(ledger=make_ledger())
     link = make_link(reader, writer, Hello(InstanceId("agent-1")), process)
     running = asyncio.create_task(link.run())
     results = [await link.call("method", b"", 5.0) for _ in range(2)]
     link.disconnect()
     await asyncio.gather(running, return_exceptions=True)
-    server.close()
+    await server.close()
     return results
 
 
--- a/bilberryspring/connection/tests/test_peers.py
+++ b/bilberryspring/connection/tests/test_peers.py
@@ -20,6 +20,7 @@
     make_peer_server,
     needs_ping,
 )
+from bilberryspring.connection.tests.stream_server import make_stream_server
 from bilberryspring.identifiers import InstanceId, RequestId
 from bilberryspring.process.accounting import make_ledger
 from bilberryspring.process.settings import ProcessSettings
@@ -175,19 +176,23 @@
                 if not accepted.is_set():
                     target.write(data)
 
-        await asyncio.gather(pump(reader, upstream), pump(upstream_reader, writer))
+        try:
+            await asyncio.gather(pump(reader, upstream), pump(upstream_reader, writer))
+        finally:
+            upstream.transport.abort()
 
     process = SimpleNamespace(ledger=make_ledger())
     server = make_peer_server(
         make_settings("agent-1"), ADDRESS, process, lambda link, message: None
     )
     await server.start()
-    proxy = await asyncio.start_server(relay, f"{ADDRESS_PREFIX}.3", 7000)
+    proxy = make_stream_server(relay)
+    await proxy.start(f"{ADDRESS_PREFIX}.3", 7000)
     stream = await pool.open_stream(f"{ADDRESS_PREFIX}.3:7000", RequestId("a"))
     accepted.set()
     async with asyncio.timeout(5):
         assert isinstance(await stream.receive(), LinkLost)
-    proxy.close()
+    await proxy.close()
     await server.close()
 
 
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -12,6 +12,10 @@
 
 from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.capability.routing import ExecutionRule
+from bilberryspring.connection.tests.stream_server import (
+    StreamServer,
+    make_stream_server,
+)
 from bilberryspring.platform import backend_calls, unreadable_values
 from bilberryspring.platform.backend_calls import make_server_calls
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome
@@ -27,24 +31,19 @@
 )
 
 
-class ScriptedServer:
+class ScriptedServer(StreamServer):
     """A server that sends scripted responses and counts connections.
 
     :param scripts: response to each request; ``None`` closes the connection.
     """
 
     def __init__(self, *scripts):
+        super().__init__(self._respond)
         self.scripts = list(scripts)
         self.connections = 0
         self.heads = []
 
-    async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self.server.sockets[0].getsockname()[1]
-        template = make_server("s1")
-        return type(template)("s1", "desk", "127.0.0.1", port, "z", 4, True, 1)
-
-    async def _serve(self, reader, writer):
+    async def _respond(self, reader, writer):
         self.connections += 1
         while True:
             try:
@@ -58,6 +57,22 @@
         writer.close()
 
 
+@pytest.fixture
+async def start():
+    """Start a server, and return it with a client; both are closed after the test."""
+    servers, calls = [], make_server_calls()
+
+    async def start(server):
+        servers.append(server)
+        _, port = await server.start()
+        return replace(make_server("s1"), port=port), calls
+
+    yield start
+    calls.close()
+    for server in servers:
+        await server.close()
+
+
 def make_response(request_id, more=""):
     return RESPONSE_TEMPLATE.format(id=request_id, more=more)
 
@@ -75,26 +90,26 @@
     return head
 
 
-async def test_connection_is_reused_and_request_names_its_server():
+async def test_connection_is_reused_and_request_names_its_server(start):
     scripted_server = ScriptedServer(make_response("a"), make_response("b"))
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     assert (await send_request(calls, server, "a")).is_success
     assert (await send_request(calls, server, "b")).is_success
     assert scripted_server.connections == 1
     assert b"Expect-Replica: s1\r\n" in scripted_server.heads[0]
 
 
-async def test_response_to_another_request_is_skipped():
+async def test_response_to_another_request_is_skipped(start):
     scripted_server = ScriptedServer(make_response("old") + make_response("a"))
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     head = await send_request(calls, server, "a")
     assert head.is_success
     assert (b"Attempt-Id", b"a") in head.headers
 
 
-async def test_response_to_another_request_does_not_complete_the_call():
+async def test_response_to_another_request_does_not_complete_the_call(start):
     scripted_server = ScriptedServer(make_response("old"), None)
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(0.3):
             await send_request(calls, server, "a")
@@ -103,23 +118,27 @@
 @pytest.mark.parametrize(
     ("keep_alive", "connections"), [("timeout=1", 2), ("timeout=9", 1)]
 )
-async def test_keep_alive_timeout_of_server_is_respected(keep_alive, connections):
+async def test_keep_alive_timeout_of_server_is_respected(
+    start, keep_alive, connections
+):
     scripted_server = ScriptedServer(
         make_response("a", f"Keep-Alive: {keep_alive}\r\n"), make_response("b")
     )
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     await send_request(calls, server, "a")
     await asyncio.sleep(0.1)
     await send_request(calls, server, "b")
     assert scripted_server.connections == connections
 
 
-async def test_request_that_must_run_once_uses_recent_connections_only(monkeypatch):
+async def test_request_that_must_run_once_uses_recent_connections_only(
+    start, monkeypatch
+):
     monkeypatch.setattr(backend_calls, "MAX_IDLE_BEFORE_ONCE_S", 0.05)
     scripted_server = ScriptedServer(
         make_response("a"), make_response("b"), make_response("c")
     )
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     await send_request(calls, server, "a")
     await asyncio.sleep(0.1)
     await send_request(calls, server, "b", ExecutionRule.REPEATABLE)
@@ -129,25 +148,24 @@
     assert scripted_server.connections == 2
 
 
-async def test_response_head_tells_whether_it_is_verified_and_was_executed():
+async def test_response_head_tells_whether_it_is_verified_and_was_executed(start):
     not_executed = (
         "HTTP/1.1 503 No\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"
         "Content-Length: 0\r\n\r\n"
     )
     compressed = make_response("b", "Content-Encoding: gzip\r\n")
     scripted_server = ScriptedServer(not_executed, compressed)
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     head = await send_request(calls, server, "a")
     assert head.was_not_run and not head.is_success
     assert not (await send_request(calls, server, "b")).is_verified
 
 
-async def test_probe_detects_whether_a_server_listens():
+async def test_probe_detects_whether_a_server_listens(start):
     scripted_server = ScriptedServer()
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     assert not await calls.is_down(server)
-    scripted_server.server.close()
-    await scripted_server.server.wait_closed()
+    await scripted_server.close()
     calls.close()
     assert await calls.is_down(server)
     found = await send_request(calls, server, "a")
@@ -164,9 +182,9 @@
         ("3,0,8,150,7", ServerLoad(3, 0, 8, 1.5)),
     ],
 )
-async def test_load_of_a_server_is_decoded(value, load):
+async def test_load_of_a_server_is_decoded(start, value, load):
     response = make_response("a", f"Replica-Load: {value}\r\n")
-    server, calls = await ScriptedServer(response).start(), make_server_calls()
+    server, calls = await start(ScriptedServer(response))
     head = await send_request(calls, server, "a")
     assert head.load == load
     assert not calls.unreadable_values.counts
@@ -177,10 +195,9 @@
     ["", "3", "3,0", "a,b,c", "-3,0,8", "3,0,8,x", "3,0,8,0", "3,0,8,-1", "3,,8"]
     + ["1.5,0,8", "9999999,0,8", "3,0,8," + "9" * 5000, "\u00b2,0,8"],
 )
-async def test_unreadable_load_is_counted(value):
+async def test_unreadable_load_is_counted(start, value):
     response = make_response("a", f"Replica-Load: {value}\r\n")
-    server = await ScriptedServer(response, response).start()
-    calls = make_server_calls()
+    server, calls = await start(ScriptedServer(response, response))
     for _ in range(2):
         head = await send_request(calls, server, "a")
         assert head.is_success
@@ -203,9 +220,9 @@
     assert lines[0]["reason"] == "not a number"
 
 
-async def test_unreadable_keep_alive_timeout_is_counted():
+async def test_unreadable_keep_alive_timeout_is_counted(start):
     response = make_response("a", "Keep-Alive: timeout=soon\r\n")
-    server, calls = await ScriptedServer(response).start(), make_server_calls()
+    server, calls = await start(ScriptedServer(response))
     assert (await send_request(calls, server, "a")).is_success
     assert calls.unreadable_values.counts == {"keep_alive": 1}
 
@@ -217,11 +234,11 @@
     )
 
 
-async def test_late_copy_on_an_idle_connection_closes_it():
+async def test_late_copy_on_an_idle_connection_closes_it(start):
     scripted_server = ScriptedServer(
         make_response("a") + make_copy("Attempt-Id: a\r\n"), make_response("b")
     )
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     assert (await send_request(calls, server, "a")).is_success
     await asyncio.sleep(0.05)
     assert (b"Attempt-Id", b"b") in (await send_request(calls, server, "b")).headers
@@ -231,13 +248,13 @@
 @pytest.mark.parametrize("id_line", ["", "Attempt-Id: \r\n", "Attempt-Id: b\x7f\r\n"])
 @pytest.mark.parametrize("is_executed", [True, False])
 async def test_late_copy_without_a_usable_id_never_answers_another_request(
-    id_line, is_executed
+    start, id_line, is_executed
 ):
     copy = make_copy(id_line)
     if not is_executed:
         copy = copy.replace("200 OK", "503 No").replace("Response-Seal", "Not-Executed")
     scripted_server = ScriptedServer(make_response("a"), copy + make_response("b"))
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     assert (await send_request(calls, server, "a")).is_success
     found = await send_request(calls, server, "b")
     if isinstance(found, Failure):
@@ -248,7 +265,7 @@
 
 
 @pytest.mark.parametrize("cut", range(1, 80, 6))
-async def test_late_copy_that_is_split_over_two_reads_is_skipped(cut):
+async def test_late_copy_that_is_split_over_two_reads_is_skipped(start, cut):
     copy = make_copy("Attempt-Id: a\r\n")
 
     async def answer(reader, writer):
@@ -259,10 +276,7 @@
         await asyncio.sleep(0.01)
         writer.write((copy[cut:] + make_response("b")).encode())
 
-    listener = await asyncio.start_server(answer, "127.0.0.1", 0)
-    port = listener.sockets[0].getsockname()[1]
-    server = replace(make_server("s1"), port=port)
-    calls = make_server_calls()
+    server, calls = await start(make_stream_server(answer))
     assert (await send_request(calls, server, "a")).is_success
     found = await send_request(calls, server, "b")
     assert (b"Attempt-Id", b"b") in found.headers
--- a/bilberryspring/process/tests/test_router_peers.py
+++ b/bilberryspring/process/tests/test_router_peers.py
@@ -20,6 +20,7 @@
     StoreSnapshot,
     encode_report,
 )
+from bilberryspring.connection.tests.stream_server import make_stream_server
 from bilberryspring.process.router_peers import (
     MAX_FANOUT,
     WATCHER_COUNT,
@@ -313,7 +314,8 @@
 async def test_reports_continue_while_a_snapshot_request_is_open():
     port = find_port()
     node = Node(ip="127.0.0.1", port=port, age_s=9.0)
-    silent = await asyncio.start_server(lambda *_: None, "127.0.0.2", port)
+    silent = make_stream_server(lambda reader, _: reader.read())
+    await silent.start("127.0.0.2", port)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as listener:
         listener.bind(("127.0.0.2", port))
         listener.setblocking(False)
@@ -329,6 +331,6 @@
             pass
         running.cancel()
         node.peers.close()
-    silent.close()
+    await silent.close()
     assert reports >= 2
     assert not node.applied_snapshots
--- a/bilberryspring/standin/tests/test_proxy.py
+++ b/bilberryspring/standin/tests/test_proxy.py
@@ -25,6 +25,11 @@
         host, port = address.split(":")
         self.server = await asyncio.start_server(self.echo, host, int(port))
 
+    async def close(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def echo(self, reader, writer):
         self.writers.append(writer)
         try:
@@ -44,10 +49,17 @@
         self.control = control
         self.address = address
         self.echo = echo
+        self.writers = []
 
     async def connect(self):
         host, port = self.address.split(":")
-        return await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.writers.append(writer)
+        return reader, writer
+
+    async def close(self):
+        for writer in self.writers:
+            writer.transport.abort()
 
     async def set_faults(self, **faults):
         response = await self.control.post("/standin/faults", json=faults)
@@ -65,8 +77,10 @@
         address=address, upstream_address=upstream_address, control_address=address
     )
     async with TestClient(TestServer(make_proxy_application(settings))) as control:
-        yield ProxiedEcho(control, address, echo)
-    echo.server.close()
+        client = ProxiedEcho(control, address, echo)
+        yield client
+        await client.close()
+    await echo.close()
     block.close()
 
 
