--- a/bilberryspring/connection/tests/test_peers.py
+++ b/bilberryspring/connection/tests/test_peers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -19,6 +20,7 @@
     make_peer_server,
     needs_ping,
 )
+from bilberryspring.connection.tests.stream_server import make_stream_server
 from bilberryspring.identifiers import InstanceId, RequestId
 from bilberryspring.process.accounting import make_ledger
 from bilberryspring.process.settings import ProcessSettings
@@ -174,19 +176,23 @@
                 if not accepted.is_set():
                     target.write(data)
 
-        await asyncio.gather(pump(reader, upstream), pump(upstream_reader, writer))
+        try:
+            await asyncio.gather(pump(reader, upstream), pump(upstream_reader, writer))
+        finally:
+            upstream.transport.abort()
 
     process = SimpleNamespace(ledger=make_ledger())
     server = make_peer_server(
         make_settings("agent-1"), ADDRESS, process, lambda link, message: None
     )
     await server.start()
-    proxy = await asyncio.start_server(relay, f"{ADDRESS_PREFIX}.3", 7000)
+    proxy = make_stream_server(relay)
+    await proxy.start(f"{ADDRESS_PREFIX}.3", 7000)
     stream = await pool.open_stream(f"{ADDRESS_PREFIX}.3:7000", RequestId("a"))
     accepted.set()
     async with asyncio.timeout(5):
         assert isinstance(await stream.receive(), LinkLost)
-    proxy.close()
+    await proxy.close()
     await server.close()
 
 
@@ -297,3 +303,20 @@
     for writer in writers:
         writer.close()
     await server.close()
+
+
+@pytest.mark.parametrize("iterations", range(3, 8))
+async def test_closing_the_server_ends_connections_in_the_handshake(serve, iterations):
+    """Each number of event loop iterations leaves the handshake at another step."""
+    server = await serve()
+    with socket.create_connection((f"{ADDRESS_PREFIX}.1", 7000)) as client:
+        client.setblocking(False)
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        await server.close()
+        async with asyncio.timeout(1.0):
+            try:
+                while await asyncio.get_running_loop().sock_recv(client, 4096):
+                    pass
+            except ConnectionError:
+                pass
