Relay a server's own failure when no other server takes over

Callers got 502 for a server's 500 that the router had in hand. Cause: the same as for silent servers: the response was closed before another server was secured. Evidence: test_server_error_is_relayed_when_no_other_server_takes_over, three cases on the code before: failure 'a failed with status 500' instead of the response. Change: the request moves once another server has taken over; otherwise the response is relayed.

--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -174,12 +174,13 @@
         return found
 
     def acquire_now(
-        self, request: IncomingRequest, pool: PoolLimits
+        self, request: IncomingRequest, pool: PoolLimits, allows_avoided: bool = False
     ) -> Reservation | Failure:
-        """Reserve capacity on a server that is not avoided, without waiting.
+        """Reserve capacity on a server without waiting.
 
         :param request: the request; servers where it was tried already are excluded.
         :param pool: pool that serves the request.
+        :param allows_avoided: whether a server that is avoided is better than none.
         :returns: as :meth:`acquire`.
         """
         queue = self._waiting.get(pool.name)
@@ -188,7 +189,7 @@
                 reason = "more urgent requests wait for capacity"
                 return make_failure(ErrorKind.OVERLOADED, reason)
         found = self._try_reserve(request, pool)
-        if isinstance(found, Reservation):
+        if isinstance(found, Reservation) and not allows_avoided:
             if found.record.is_avoided(asyncio.get_running_loop().time()):
                 self.release(found)
                 reason = "every server that is left to try is avoided"
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -324,7 +324,14 @@
                 loop.time() - attempt.sent_s, reservation.expected_s, loop.time()
             )
             refusal = self._check_head(head, request, reservation, progress)
-            if refusal is not None:
+            if refusal is not None and not (
+                # The server's own failure is an answer unless there is a better one.
+                refusal.outcome is Outcome.RAN
+                and not progress.answer.is_started
+                and not await self._replace(
+                    request, reservation, progress, allows_avoided=True
+                )
+            ):
                 return refusal
             if request.route.rule is ExecutionRule.STREAM and head.is_success:
                 failure = await self._relay_stream(
@@ -516,8 +523,9 @@
         request: IncomingRequest,
         reservation: Reservation,
         progress: ResponseProgress,
+        allows_avoided: bool = False,
     ) -> bool:
-        """Send a request to another server while its present one still works on it.
+        """Send a request to another server before its present one is given up.
 
         :returns: whether the other server has taken over: it has begun a response that
             can be relayed, or has not refused the request for as long as both may work
@@ -529,7 +537,7 @@
         if not may_retry or not self._budget.can_spend():
             return False
         request.tried_server_ids.add(reservation.record.server.server_id)
-        spare = self._dispatcher.acquire_now(request, progress.pool)
+        spare = self._dispatcher.acquire_now(request, progress.pool, allows_avoided)
         if isinstance(spare, Failure):
             return False
         self._budget.spend()
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -320,3 +320,16 @@
     answer, calls = await relay(RESUMABLE_ROUTE, [steady, COMPLETE_RESPONSE])
     assert answer.body == b"".join(events) and answer.is_finished
     assert len(calls.sent) == 1
+
+
+@pytest.mark.parametrize(
+    ("servers", "others"),
+    [(("a",), []), (("a", "b"), [UNREACHABLE]), (("a", "b"), [REFUSED])],
+    ids=["no-other", "unreachable", "refused"],
+)
+async def test_server_error_is_relayed_when_no_other_server_takes_over(servers, others):
+    failed = [make_head(500), b"why", None]
+    answer, calls = await relay(REPEATABLE_ROUTE, [failed, *others], servers=servers)
+    assert answer.failure is None
+    assert answer.head.status == 500 and answer.body == b"why" and answer.is_finished
+    assert calls.closed == len(calls.sent)
