--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -5,8 +5,11 @@
 """
 
 import asyncio
+import socket
+import time
 
 import pytest
+import uvloop
 
 from bilberryspring.capability.routing import CallerLimits
 from bilberryspring.connection.caller_policy import CallerPolicy
@@ -219,3 +222,20 @@
     received = await read_until_closed(reader)
     assert received.startswith(b"HTTP/1.1 500 ")
     assert received.endswith(b"\r\n\r\nhi")
+
+
+def test_request_that_arrived_in_a_pause_of_the_router_is_read_before_an_idle_timeout():
+    async def send_in_a_pause():
+        server = CallerServer(make_policy(idle_s=0.2))
+        await server.start()
+        port = server.listener.sockets[0].getsockname()[1]
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            await asyncio.sleep(0.1)
+            caller.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                b"Connection: close\r\n\r\nhi"
+            )
+            time.sleep(0.2)
+            return await asyncio.to_thread(caller.recv, 1000)
+
+    assert uvloop.run(send_in_a_pause()).startswith(b"HTTP/1.1 200")
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -44,8 +44,8 @@
 
 # How often a pending read checks whether its server has become silent.
 SILENCE_CHECK_INTERVAL_S = 0.25
-# A check that comes later than this shows that the event loop was held up. It runs
-# before what the server sent meanwhile is read.
+# A check that comes later than this shows that the event loop was held up. It may run
+# before what the server sent meanwhile has been handled.
 MAX_CHECK_DELAY_S = 0.1
 # Longest time for which two servers work on a request while one takes over.
 MAX_OVERLAP_S = 0.3
