Begin no stream that the stop of this router would break off

Callers saw streams broken off at the end of a router's grace period although they had been sent seconds after its SIGTERM. Cause: a draining router accepts what the load balancer still sends and began streams of any length until its last 2.5 s. Change: once a stop is set, a stream that arrives with less than twice the mean service time left is refused as not run, with a short time to return; other requests get 504 at the stop as before.

--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -56,6 +56,10 @@
 MIN_STALL_S = 1.0
 # A server that sends nothing at all for this multiple is silent.
 SILENT_PAUSE_FACTOR = 2.0
+# A router that stops begins no stream unless this multiple of the mean time is left.
+STOP_SERVICE_FACTOR = 2.0
+# Another router can serve such a request at once.
+LEAVING_RETRY_AFTER_S = 0.05
 _SUCCESS = None
 
 
@@ -121,7 +125,9 @@
         try:
             async with timeout:
                 self._timeouts.add(timeout)
-                outcome = await self._try_servers(request, pool, progress, must_end_s)
+                outcome = self._refuse_before_stop(
+                    request, pool
+                ) or await self._try_servers(request, pool, progress, must_end_s)
         except TimeoutError:
             if request.attempts == 0:
                 outcome = make_failure(
@@ -168,6 +174,19 @@
             await answer.refuse(outcome)
         return outcome
 
+    def _refuse_before_stop(
+        self, request: IncomingRequest, pool: PoolLimits
+    ) -> Failure | None:
+        """Refuse a stream that the stop of this router would probably break off."""
+        left_s = self._stop_s - read_boot_time_s()
+        needed_s = STOP_SERVICE_FACTOR * self._dispatcher.get_mean_service_s(pool.name)
+        if request.route.rule is not ExecutionRule.STREAM or left_s >= needed_s:
+            return None
+        reason = f"this router stops in {left_s:.2f} s"
+        return make_failure(
+            ErrorKind.LEAVING, reason, retry_after_s=LEAVING_RETRY_AFTER_S
+        )
+
     async def _try_servers(
         self,
         request: IncomingRequest,
--- a/bilberryspring/request/tests/relay_fixtures.py
+++ b/bilberryspring/request/tests/relay_fixtures.py
@@ -186,9 +186,19 @@
 
 
 async def relay(
-    route, scripts, servers=("a", "b", "c"), extra=20, crashes=None, down=(), **request
+    route,
+    scripts,
+    servers=("a", "b", "c"),
+    extra=20,
+    crashes=None,
+    down=(),
+    stop_in_s=None,
+    **request,
 ):
-    """Relay one request; return its recorded answer and the backend calls."""
+    """Relay one request; return its recorded answer and the backend calls.
+
+    :param stop_in_s: time in seconds after which a router that stops ends all requests.
+    """
     table = make_server_table()
     for server_id in servers:
         table.put(make_server(server_id))
@@ -199,6 +209,8 @@
     tested_relay = make_relay(
         calls, dispatcher, table, budget, crashes or make_crash_records()
     )
+    if stop_in_s is not None:
+        tested_relay.stop_by(read_boot_time_s() + stop_in_s)
     await tested_relay.relay(make_request(route, **request), SERVICE_POOL, answer)
     await asyncio.gather(*tested_relay._crash_checks)
     assert all(record.requests == 0 for record in table.records.values())
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -333,3 +333,14 @@
     assert answer.failure is None
     assert answer.head.status == 500 and answer.body == b"why" and answer.is_finished
     assert calls.closed == len(calls.sent)
+
+
+@pytest.mark.parametrize("route", [STREAM_ROUTE, RESUMABLE_ROUTE])
+async def test_stream_that_a_stop_would_break_off_is_not_begun(route):
+    stream = [make_head(), b"id: 1\n\n", 0.3, b"id: 2\n\n", None]
+    answer, calls = await relay(route, [stream], stop_in_s=0.15)
+    assert not answer.is_broken and not calls.sent
+    assert answer.failure.kind is ErrorKind.LEAVING
+    assert answer.failure.outcome is Outcome.NOT_RUN
+    answer, _ = await relay(route, [stream], stop_in_s=1.0)
+    assert answer.is_finished
