--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -49,8 +49,8 @@
 
 # How often a pending read checks whether its server has become silent.
 SILENCE_CHECK_INTERVAL_S = 0.25
-# A check that comes later than this shows that the event loop was held up. It runs
-# before what the server sent meanwhile is read.
+# A check that comes later than this shows that the event loop was held up. It may run
+# before what the server sent meanwhile has been handled.
 MAX_CHECK_DELAY_S = 0.1
 # Longest time for which two servers work on a request while one takes over.
 MAX_OVERLAP_S = 0.3
@@ -64,6 +64,10 @@
 # A request that may have crashed a server waits for reports of other crashes before it
 # is sent to another.
 SUSPECT_RETRY_DELAY_S = 0.3
+# A router that stops begins no stream unless this multiple of the mean time is left.
+STOP_SERVICE_FACTOR = 2.0
+# Another router can serve such a request at once.
+LEAVING_RETRY_AFTER_S = 0.05
 _SUCCESS = None
 
 
@@ -135,7 +139,9 @@
         try:
             async with timeout:
                 self._timeouts.add(timeout)
-                outcome = await self._try_servers(request, progress)
+                outcome = self._refuse_before_stop(
+                    request, pool
+                ) or await self._try_servers(request, progress)
         except TimeoutError:
             if request.attempts == 0:
                 outcome = make_failure(
@@ -182,6 +188,19 @@
             await answer.refuse(outcome)
         return outcome
 
+    def _refuse_before_stop(
+        self, request: IncomingRequest, pool: PoolLimits
+    ) -> Failure | None:
+        """Refuse a stream that the stop of this router would probably break off."""
+        left_s = self._stop_s - read_boot_time_s()
+        needed_s = STOP_SERVICE_FACTOR * self._dispatcher.get_mean_service_s(pool.name)
+        if request.route.rule is not ExecutionRule.STREAM or left_s >= needed_s:
+            return None
+        reason = f"this router stops in {left_s:.2f} s"
+        return make_failure(
+            ErrorKind.LEAVING, reason, retry_after_s=LEAVING_RETRY_AFTER_S
+        )
+
     async def _try_servers(
         self,
         request: IncomingRequest,
@@ -380,7 +399,14 @@
                 loop.time() - attempt.sent_s, reservation.expected_s, loop.time()
             )
             refusal = self._check_head(head, request, reservation, progress)
-            if refusal is not None:
+            if refusal is not None and not (
+                # The server's own failure is an answer unless there is a better one.
+                refusal.outcome is Outcome.RAN
+                and not progress.answer.is_started
+                and not await self._replace(
+                    request, reservation, progress, allows_avoided=True
+                )
+            ):
                 return refusal
             if request.route.rule is ExecutionRule.STREAM and head.is_success:
                 failure = await self._relay_stream(
@@ -587,8 +613,9 @@
         request: IncomingRequest,
         reservation: Reservation,
         progress: ResponseProgress,
+        allows_avoided: bool = False,
     ) -> bool:
-        """Send a request to another server while its present one still works on it.
+        """Send a request to another server before its present one is given up.
 
         :returns: whether the other server has taken over: it has begun a response that
             can be relayed, or has not refused the request for as long as both may work
@@ -603,7 +630,7 @@
         if refusal is not None or self._suspects.is_unproven_suspect(progress.contents):
             return False
         request.tried_server_ids.add(reservation.record.server.server_id)
-        spare = self._dispatcher.acquire_now(request, progress.pool)
+        spare = self._dispatcher.acquire_now(request, progress.pool, allows_avoided)
         if isinstance(spare, Failure):
             return False
         self._budget.spend()
