Treat a stream that is closed before its first event as broken off

Evidence: the case "head-without-events" of the test of whole router processes answered 200 on the code before ("assert 200 in (0, 502)"). The 4 cases of the relay failed there for want of the field that tells how a body ends.

Change: the head says whether the body ends with its connection; if so, a response without any complete event, comments aside, is a failure, also as the continuation of a begun stream. An empty stream with a length or chunks is complete, as before. A stream that is closed between two events can't be told from a complete one.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -49,6 +49,8 @@
         response without it may come from another server or an intermediary.
     :param load: reported load of the server; ``None`` if it reported none, or one that
         could not be decoded.
+    :param is_close_delimited: whether the body ends with its connection, so that its
+        end does not show that it is complete.
     """
 
     status: int
@@ -56,6 +58,7 @@
     was_not_run: bool
     is_verified: bool
     load: ServerLoad | None
+    is_close_delimited: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -285,6 +285,7 @@
         # The seal covers the body before any content coding.
         is_verified=head.find_header(wire.RESPONSE_SEAL) is not None and not has_coding,
         load=load,
+        is_close_delimited=not head.is_self_delimited,
     )
 
 
--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -386,6 +386,7 @@
     "status-line": ("/orders/x", HEAD[:15], None),
     "head": ("/orders/x", HEAD, None),
     "head-of-stream": ("/drafts/x", HEAD, None),
+    "head-without-events": ("/drafts/x", HEAD + b"\r\n", None),
     "nothing": ("/orders/x", b"", None),
 }
 
--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -14,6 +14,7 @@
     """Splitter of a stream of server-sent events at event boundaries.
 
     :ivar last_id: id of the last complete event that has one; ``None`` before it.
+    :ivar has_events: whether the current response has a complete event.
     :ivar is_continuation_wrong: whether a continuation does not go on after
         ``last_id``; its events are not returned.
     """
@@ -21,6 +22,7 @@
     def __init__(self) -> None:
         self._partial = b""
         self.last_id: str | None = None
+        self.has_events = False
         self._has_begun = False
         self._must_check_continuation = False
         self.is_continuation_wrong = False
@@ -54,7 +56,7 @@
             self._check_continuation(events)
         if self.is_continuation_wrong:
             return b""
-        self._has_begun = self._has_begun or bool(_find_first_event(events))
+        self.has_events = self.has_events or bool(_find_first_event(events))
         self.last_id = _find_last_id(events.splitlines()) or self.last_id
         return events
 
@@ -74,6 +76,8 @@
         The incomplete event at the end of an interrupted response is discarded.
         """
         self._partial = b""
+        self._has_begun = self._has_begun or self.has_events
+        self.has_events = False
         self._must_check_continuation = self._has_begun
         self.is_continuation_wrong = False
 
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -33,6 +33,7 @@
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 from bilberryspring.request.event_splitter import (
     MAX_EVENT_BYTES,
+    EventSplitter,
     make_event_splitter,
 )
 from bilberryspring.request.fleet_budget import FleetRetryBudget
@@ -377,10 +378,10 @@
             )
             if isinstance(chunk, Failure):
                 return chunk
-            if chunk is None and splitter.is_inside_event:
-                server_id = reservation.record.server.server_id
-                reason = f"{server_id} ended its stream inside an event"
-                return make_failure(ErrorKind.BACKEND_FAILED, reason)
+            if chunk is None:
+                truncation = _find_truncation(head, splitter)
+                if truncation is not None:
+                    return truncation
             if not answer.is_started:
                 progress.start(head, None, read_boot_time_s() - request.received_s)
             if chunk is None:
@@ -456,6 +457,19 @@
                     return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
 
+def _find_truncation(
+    head: BackendResponseHead, splitter: EventSplitter
+) -> Failure | None:
+    """Return why a stream that has ended is incomplete, ``None`` if it is complete."""
+    if splitter.is_inside_event:
+        reason = "the stream ended inside an event"
+    elif head.is_close_delimited and not splitter.has_events:
+        reason = "the connection was closed before the first event"
+    else:
+        return None
+    return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
+
 def _digest_request(request: IncomingRequest) -> str:
     """Return a digest that is the same for every try of a request."""
     content = f"{request.workspace} {request.method} {request.target}\n".encode()
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -357,3 +358,18 @@
     second = [make_head(), b"id: 1\ndata: a\n\n", None]
     answer, _ = await relay(RESUMABLE_ROUTE, [first, second])
     assert answer.body == b": hi\n\nid: 1\ndata: a\n\n" and answer.is_finished
+
+
+@pytest.mark.parametrize("is_begun", [True, False])
+@pytest.mark.parametrize("parts", [[], [b": hi\n\n"]])
+async def test_stream_that_is_closed_before_an_event_does_not_look_complete(
+    is_begun, parts
+):
+    first = BEGUN_STREAM if is_begun else [make_lost_connection()]
+    closed = [replace(make_head(), is_close_delimited=True), *parts, None]
+    answer, _ = await relay(RESUMABLE_ROUTE, [first, closed])
+    assert not answer.is_finished
+    if is_begun or parts:
+        assert answer.is_broken
+    else:
+        assert answer.failure.kind is ErrorKind.BACKEND_FAILED
