Show that broken answers, endless bodies and early answers do no harm

- Nothing of a response that is cut at any byte, with a length, chunks, a trailer or after an interim response, is a complete response; nothing of a head is a head.
- A body without end on a route without events ends in a failure and closes the connection; one that is not read is not held in memory.
- A refused request's connection is closed, since the body of the refusal is not read, and no request is sent twice to one server, so no copy of a refusal meets a request with its id.
- After an early answer to a long body the rest of the body is sent whole or the connection is closed; no other bytes take its place.

--- a/bilberryspring/connection/tests/test_http_backend.py
+++ b/bilberryspring/connection/tests/test_http_backend.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from bilberryspring.connection.http_backend import (
+    READ_HIGH_WATER_BYTES,
     ConnectionFailure,
     ConnectionFailureKind,
     open_connection,
@@ -299,3 +300,62 @@
         await asyncio.sleep(0.05)
         connection.close()
         assert isinstance(await reading, ConnectionFailure)
+
+
+async def test_unread_body_without_end_is_not_held_in_memory():
+    sent_bytes = 0
+    closed = asyncio.Event()
+
+    async def respond(reader, writer):
+        nonlocal sent_bytes
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        try:
+            while True:
+                writer.write(b"x" * 65_536)
+                sent_bytes += 65_536
+                await writer.drain()
+        except ConnectionError:
+            closed.set()
+
+    async with serve_streams(respond) as port, asyncio.timeout(5):
+        connection = await open_connection("127.0.0.1", port, 1.0)
+        connection.send(b"GET / HTTP/1.1\r\n\r\n")
+        assert (await connection.read_head()).status == 200
+        await asyncio.sleep(0.3)
+        held_bytes = sum(len(part) for part in connection._received_parts)
+        # The socket's buffers hold some megabytes that the connection never reads.
+        assert held_bytes <= READ_HIGH_WATER_BYTES + 1024 * 1024
+        assert sent_bytes < 32_000_000
+        connection.close()
+        await closed.wait()
+
+
+FRAMED_RESPONSES = [
+    OK % b"1",
+    OK_CHUNKED + b"2\r\nhi\r\n1\r\n!\r\n0\r\n\r\n",
+    OK_CHUNKED + b"2\r\nhi\r\n0\r\nX-Sum: 1\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + OK % b"1",
+]
+
+
+@pytest.mark.parametrize("response", FRAMED_RESPONSES)
+async def test_response_that_is_cut_anywhere_is_never_complete(response):
+    for cut in range(len(response)):
+
+        async def respond(writer, cut=cut):
+            writer.write(response[:cut])
+
+        _, _, end = await exchange(respond)
+        assert isinstance(end, ConnectionFailure), response[:cut]
+
+
+async def test_head_that_is_cut_anywhere_is_no_response():
+    head = b"HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nResponse-Seal: s\r\n\r\n"
+    for cut in range(len(head)):
+
+        async def respond(writer, cut=cut):
+            writer.write(head[:cut])
+
+        found, _, _ = await exchange(respond)
+        assert isinstance(found, ConnectionFailure), head[:cut]
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -334,3 +334,66 @@
         assert (b"Attempt-Id", b"b") in head.headers, (cut, head)
         seals = [value for name, value in head.headers if name == b"Response-Seal"]
         assert (seals, body) == ([b"s"], b"hi"), (cut, head)
+
+
+async def test_connection_of_a_refused_request_is_not_used_again():
+    refusal = (
+        "HTTP/1.1 503 No\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"
+        "Content-Length: 4\r\n\r\nfull"
+    )
+    scripted_server = ScriptedServer(refusal, make_response("b"))
+    server, calls = await scripted_server.start(), make_server_calls()
+    request = make_request(make_route(), request_id="a")
+    exchange = await calls.begin(server, request, 2.0)
+    assert (await exchange.read_head()).was_not_run
+    exchange.close()
+    assert (await send_request(calls, server, "b")).is_success
+    assert scripted_server.connections == 2
+    calls.close()
+    scripted_server.server.close()
+
+
+@pytest.mark.parametrize("body_bytes", [200_000, 20_000_000])
+@pytest.mark.parametrize("is_refusal", [True, False])
+async def test_rest_of_a_body_is_never_replaced_after_an_early_answer(
+    body_bytes, is_refusal
+):
+    early = make_response("a")
+    if is_refusal:
+        early = early.replace("200 OK", "503 No").replace(
+            "Response-Seal", "Not-Executed"
+        )
+    received = []
+
+    async def respond(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"Attempt-Id: a" not in head:
+            writer.write(make_response("b").encode())
+            return
+        writer.write(early.encode())
+        await asyncio.sleep(0.2)
+        body = b""
+        while len(body) < body_bytes:
+            part = await reader.read(body_bytes - len(body))
+            if not part:
+                break
+            body += part
+        received.append(body)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(make_response("b").encode())
+
+    async with serve_streams(respond) as port:
+        server, calls = replace(make_server("s1"), port=port), make_server_calls()
+        request = make_request(make_route(), request_id="a")
+        request.headers = [(b"Attempt-Id", b"a")]
+        request.body = b"x" * body_bytes
+        exchange = await calls.begin(server, request, 2.0)
+        assert (await exchange.read_head()).was_not_run == is_refusal
+        if not is_refusal:
+            while isinstance(await exchange.read_chunk(), bytes):
+                pass
+        exchange.close()
+        assert (await send_request(calls, server, "b")).is_success
+        await asyncio.sleep(0.4)
+        calls.close()
+    assert all(body == b"x" * len(body) for body in received)
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -14,6 +14,7 @@
 from bilberryspring.request.crash_records import make_crash_records
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
 from bilberryspring.request.relay import (
+    MAX_BUFFERED_BODY_BYTES,
     MIN_STALL_S,
     STALL_PAUSE_FACTOR,
 )
@@ -263,6 +264,15 @@
     assert asyncio.get_running_loop().time() - started_s < 1.8
 
 
+async def test_request_is_never_sent_again_to_the_server_that_refused_it():
+    refused = [make_head(503, was_not_run=True, is_own=False)]
+    answer, calls = await relay(
+        REPEATABLE_ROUTE, [refused, COMPLETE_RESPONSE], servers=("a",)
+    )
+    assert len(calls.sent) == 1
+    assert answer.failure.outcome is Outcome.NOT_RUN
+
+
 @pytest.mark.parametrize("status", [408, 429, 503])
 @pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE, REPEATABLE_ROUTE])
 async def test_status_that_promises_not_run_is_not_relayed_without_a_statement(
@@ -360,6 +370,16 @@
     assert answer.body == b": hi\n\nid: 1\ndata: a\n\n" and answer.is_finished
 
 
+@pytest.mark.parametrize("route", [ONCE_ROUTE, REPEATABLE_ROUTE])
+async def test_body_without_end_fails_and_closes_the_connection(route):
+    endless = [make_head(), *[b"x" * 65_536] * (MAX_BUFFERED_BODY_BYTES // 65_536 + 9)]
+    answer, calls = await relay(route, [endless, endless])
+    assert answer.head is None
+    assert answer.failure.kind is ErrorKind.BACKEND_FAILED
+    assert answer.failure.outcome is Outcome.UNKNOWN
+    assert calls.closed == len(calls.sent) == (2 if route.is_repeatable else 1)
+
+
 @pytest.mark.parametrize("is_begun", [True, False])
 @pytest.mark.parametrize("parts", [[], [b": hi\n\n"]])
 async def test_stream_that_is_closed_before_an_event_does_not_look_complete(
