Let the soak's servers send broken answers

The soak's servers framed every answer and only its proxies broke connections, so it could not meet the faults of this series. A server may now, for a while, end bodies with its connection, end streams inside an event, close inside a head, send an earlier refusal or a part of it before its answer, or answer 429 or 503 to what it has run.

--- a/bilberryspring/platform/tests/platform_standin.py
+++ b/bilberryspring/platform/tests/platform_standin.py
@@ -182,6 +182,12 @@
         return web.json_response({"ttlMs": 1000})
 
 
+def list_events(request, event_count):
+    """Return the events of a stream, from the one at which the request resumes it."""
+    first = int(request.headers.get("Last-Event-Id", "0")) + 1
+    return [b"id: %d\ndata: x\n\n" % number for number in range(first, event_count + 1)]
+
+
 class ServerStandin:
     """A backend server that records the requests it executes.
 
@@ -239,9 +245,8 @@
             return web.Response(body=b"done " + body, headers=headers)
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for number in range(first, self.event_count + 1):
+        for event in list_events(request, self.event_count):
             await asyncio.sleep(self.delay_s)
-            await response.write(b"id: %d\ndata: x\n\n" % number)
+            await response.write(event)
         await response.write_eof()
         return response
--- a/bilberryspring/platform/tests/soak_faults.py
+++ b/bilberryspring/platform/tests/soak_faults.py
@@ -6,6 +6,7 @@
 import aiohttp
 from aiohttp import web
 
+from bilberryspring.platform.tests.soak_answers import ANSWER_FAULTS
 from bilberryspring.platform.tests.soak_harness import (
     POOLS,
     READINESS_CHECK_INTERVAL_S,
@@ -160,9 +161,21 @@
     injected_fault.finished_s = harness.now_s() + 0.5
 
 
+async def break_server_answers(harness):
+    server, duration_s = _choose_server(harness), harness.rng.uniform(0.3, 1.5)
+    answer_fault = harness.rng.choice(ANSWER_FAULTS)
+    if server is None:
+        return
+    injected_fault = harness.record_fault("server", server.server_id, duration_s + 0.5)
+    server.answer_fault = answer_fault
+    await asyncio.sleep(duration_s)
+    server.answer_fault = None
+    injected_fault.finished_s = harness.now_s() + 0.5
+
+
 # Only few of the faults of a server lose requests in progress, so they are injected
 # often.
-FAULT_INJECTORS += 3 * [disturb_server_connection]
+FAULT_INJECTORS += 3 * [disturb_server_connection, break_server_answers]
 
 
 @fault_injector
--- a/bilberryspring/platform/tests/soak_harness.py
+++ b/bilberryspring/platform/tests/soak_harness.py
@@ -144,6 +144,8 @@
         self.proxy = None
         self.running = 0
         self.is_removed = False
+        self.answer_fault = None
+        self.rng = random.Random(server_id)
         self._harness = harness
 
     async def start_with_proxy(self):
@@ -171,6 +173,10 @@
             )
         self.running += 1
         try:
+            if self.answer_fault is not None:
+                response = await self.answer_fault(self, request)
+                if response is not None:
+                    return response
             return await super()._handle_request(request)
         finally:
             self.running -= 1
--- a/bilberryspring/platform/tests/test_soak.py
+++ b/bilberryspring/platform/tests/test_soak.py
@@ -17,7 +17,13 @@
 from bilberryspring.platform.tests.soak_harness import SoakHarness
 
 SEEDS_VARIABLE = "BILBERRYSPRING_SOAK_SEEDS"
-SEEDS = (1, 2)
+SEEDS = (
+    *(1, 2),
+    # A server's 429 or 503 for a request that it had run was relayed.
+    *(3, 6),
+    # A stream that ended inside an event was relayed as complete.
+    9,
+)
 TEST_PATH = "bilberryspring/platform/tests/test_soak.py"
 
 
