--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -6,13 +6,18 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
 
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
-from bilberryspring.request.relay import MIN_STALL_S, STALL_PAUSE_FACTOR
+from bilberryspring.request.relay import (
+    MAX_BUFFERED_BODY_BYTES,
+    MIN_STALL_S,
+    STALL_PAUSE_FACTOR,
+)
 from bilberryspring.request.suspect_contents import make_suspect_contents
 from bilberryspring.request.tests.relay_fixtures import (
     make_head,
@@ -399,6 +404,15 @@
     assert len(calls.sent) == 1
 
 
+async def test_request_is_never_sent_again_to_the_server_that_refused_it():
+    refused = [make_head(503, was_not_run=True, is_own=False)]
+    answer, calls = await relay(
+        REPEATABLE_ROUTE, [refused, COMPLETE_RESPONSE], servers=("a",)
+    )
+    assert len(calls.sent) == 1
+    assert answer.failure.outcome is Outcome.NOT_RUN
+
+
 @pytest.mark.parametrize("status", [408, 429, 503])
 @pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE, REPEATABLE_ROUTE])
 async def test_status_that_promises_not_run_is_not_relayed_without_a_statement(
@@ -518,3 +532,28 @@
     assert answer.failure.outcome is Outcome.NOT_RUN
     answer, _ = await relay(route, [stream], stop_in_s=1.0)
     assert answer.is_finished
+
+
+@pytest.mark.parametrize("route", [ONCE_ROUTE, REPEATABLE_ROUTE])
+async def test_body_without_end_fails_and_closes_the_connection(route):
+    endless = [make_head(), *[b"x" * 65_536] * (MAX_BUFFERED_BODY_BYTES // 65_536 + 9)]
+    answer, calls = await relay(route, [endless, endless])
+    assert answer.head is None
+    assert answer.failure.kind is ErrorKind.BACKEND_FAILED
+    assert answer.failure.outcome is Outcome.UNKNOWN
+    assert calls.closed == len(calls.sent) == (2 if route.is_repeatable else 1)
+
+
+@pytest.mark.parametrize("is_begun", [True, False])
+@pytest.mark.parametrize("parts", [[], [b": hi\n\n"]])
+async def test_stream_that_is_closed_before_an_event_does_not_look_complete(
+    is_begun, parts
+):
+    first = BEGUN_STREAM if is_begun else [make_lost_connection()]
+    closed = [replace(make_head(), is_close_delimited=True), *parts, None]
+    answer, _ = await relay(RESUMABLE_ROUTE, [first, closed])
+    assert not answer.is_finished
+    if is_begun or parts:
+        assert answer.is_broken
+    else:
+        assert answer.failure.kind is ErrorKind.BACKEND_FAILED
