--- a/bilberryspring/policy/tests/fleet_replay.py
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -290,11 +290,16 @@
         return True
 
 
-class _Network:
-    """Network that carries datagrams between the routers and counts their bytes."""
+class Network:
+    """Network that carries datagrams between the routers and counts their bytes.
 
-    def __init__(self, rng):
+    :param rng: generator of random numbers.
+    :param datagram_loss: share of the datagrams that are lost.
+    """
+
+    def __init__(self, rng, datagram_loss=DATAGRAM_LOSS):
         self.rng = rng
+        self.datagram_loss = datagram_loss
         self.peers = {}
         self.sent_bytes = Counter()
 
@@ -313,7 +318,7 @@
     def sendto(self, data, address):
         network = self.network
         network.sent_bytes[self.ip] += len(data) + 28
-        if network.rng.random() < DATAGRAM_LOSS:
+        if network.rng.random() < network.datagram_loss:
             return
         asyncio.get_running_loop().call_later(
             NETWORK_DELAY_S,
@@ -330,7 +335,9 @@
         """Ignore the confirmation."""
 
 
-class _Router:
+class Router:
+    """Router that exchanges reports with the others of a network."""
+
     def __init__(self, number, network, estimator):
         loop = asyncio.get_running_loop()
         self.ip = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}"
@@ -368,8 +375,8 @@
 async def _run(fleet, seed, duration_s, estimator):
     rng = random.Random(seed)
     loop = asyncio.get_running_loop()
-    network = _Network(rng)
-    routers = [_Router(number, network, estimator) for number in range(fleet.routers)]
+    network = Network(rng)
+    routers = [Router(number, network, estimator) for number in range(fleet.routers)]
     servers = {}
     running = []
     pool_name = "writers" if fleet.is_engine else "desk"
@@ -498,7 +505,7 @@
 
 
 @contextmanager
-def _seeded(seed):
+def seeded(seed):
     """Seed the global generator, which the exchange of reports draws from."""
     state = random.getstate()
     random.seed(seed)
@@ -517,5 +524,5 @@
     :param estimator: registered name of the estimator of other routers' requests.
     :returns: the measurements.
     """
-    with _seeded(seed):
+    with seeded(seed):
         return run_on_virtual_clock(_run(fleet, seed, duration_s, estimator))
