Pay for news of crashes from the byte budget of the reports

During news a router sent its reports more often, each to as many routers as if it were a regular one.

Each report now spends from one budget, so news make reports earlier and smaller in number of receivers, not more. Regular reports may overdraw it, as before, so that a router with long reports is still heard.

The new test failed before: 168503 bytes in 5 s, at most 50000 allowed.

--- a/bilberryspring/policy/tests/test_crash_replay.py
+++ b/bilberryspring/policy/tests/test_crash_replay.py
@@ -5,7 +5,6 @@
 reports of crashes that take more than a router's share of the network.
 """
 
-
 import pytest
 
 from bilberryspring.policy.tests.crash_replay import (
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -45,8 +45,11 @@
 MIN_NEWS_INTERVAL_S = 0.1
 MAX_FANOUT = 10
 MIN_FANOUT = 3
+MIN_NEWS_FANOUT = 1
 # A node may spend 10 KB/s on control traffic; the rest is left for snapshots.
 MAX_REPORT_BYTES_PER_S = 9_000
+# Unspent bytes that a router may spend later; jitter makes some intervals longer.
+MAX_BUDGET_BYTES = MAX_REPORT_BYTES_PER_S * REPORT_INTERVAL_S * 1.1
 DATAGRAM_HEADER_BYTES = 28
 # The load of a router counts for this long after its last report.
 REPORT_LIFETIME_S = 1.5
@@ -151,6 +154,8 @@
         self._sequence = 0
         self._news_timer: asyncio.TimerHandle | None = None
         self._news_sent_s = 0.0
+        self._budget_bytes = MAX_BUDGET_BYTES
+        self._budgeted_s = read_clock()
         self._fanout = MAX_FANOUT
         self._peer_views: dict[str, PeerView] = {}
         self._address_added_s: dict[str, float] = {}
@@ -257,7 +262,7 @@
     def _report_news(self) -> None:
         self._news_timer = None
         self._news_sent_s = self._read_clock()
-        self._send_report(self._news_sent_s)
+        self._send_report(self._news_sent_s, is_news=True)
 
     def _remove_expired(self, now_s: float) -> None:
         for ip, view in list(self._peer_views.items()):
@@ -267,10 +272,17 @@
             if now_s - added_s > PEER_TIMEOUT_S:
                 del self._address_added_s[ip]
 
-    def _send_report(self, now_s: float) -> None:
+    def _send_report(self, now_s: float, is_news: bool = False) -> None:
         targets = sorted({*self._peer_views, *self._address_added_s})
         if not targets or self._transport is None or self._transport.is_closing():
             return
+        self._budget_bytes = min(
+            self._budget_bytes + (now_s - self._budgeted_s) * MAX_REPORT_BYTES_PER_S,
+            MAX_BUDGET_BYTES,
+        )
+        self._budgeted_s = now_s
+        if self._budget_bytes <= 0:
+            return
         loads = [
             RouterLoad(
                 hash_name(server_id),
@@ -299,8 +311,13 @@
                 self._list_statements(now_s),
             )
         )
-        self._fanout = min(_choose_fanout(len(data)), len(targets))
-        for ip in random.sample(targets, self._fanout):
+        size_bytes = len(data) + DATAGRAM_HEADER_BYTES
+        fanout = _choose_fanout(size_bytes, self._budget_bytes, is_news)
+        fanout = min(fanout, len(targets))
+        if not is_news:
+            self._fanout = fanout
+        self._budget_bytes -= fanout * size_bytes
+        for ip in random.sample(targets, fanout):
             self._transport.sendto(data, (ip, self._port))
 
     def _list_statements(self, now_s: float) -> tuple[ServerStatement, ...]:
@@ -444,16 +461,21 @@
         return age_s >= 0 and (own_age_s < 0 or age_s < own_age_s)
 
 
-def _choose_fanout(report_bytes: int) -> int:
-    """Return how many routers each report is sent to.
+def _choose_fanout(size_bytes: int, budget_bytes: float, is_news: bool) -> int:
+    """Return how many routers a report is sent to.
 
-    :param report_bytes: size of the encoded report.
+    :param size_bytes: size of the datagram.
+    :param budget_bytes: bytes that may be sent now; a regular report may overdraw them,
+        so that the other routers keep hearing of this one.
+    :param is_news: whether news are reported ahead of the regular report.
 
-    >>> _choose_fanout(100), _choose_fanout(400), _choose_fanout(1400)
-    (10, 5, 3)
+    >>> [_choose_fanout(size, 2250.0, False) for size in (100, 430, 1400)]
+    [10, 5, 3]
+    >>> _choose_fanout(430, 900.0, True), _choose_fanout(430, 200.0, True)
+    (2, 1)
     """
-    bytes_per_s = (report_bytes + DATAGRAM_HEADER_BYTES) / REPORT_INTERVAL_S
-    return int(min(max(MAX_REPORT_BYTES_PER_S // bytes_per_s, MIN_FANOUT), MAX_FANOUT))
+    min_fanout = MIN_NEWS_FANOUT if is_news else MIN_FANOUT
+    return int(min(max(budget_bytes // size_bytes, min_fanout), MAX_FANOUT))
 
 
 def _make_watcher_key(has_fast_link: bool, instance_id: InstanceId) -> tuple[bool, int]:
--- a/bilberryspring/process/tests/test_router_peers.py
+++ b/bilberryspring/process/tests/test_router_peers.py
@@ -24,6 +24,7 @@
 from bilberryspring.connection.tests.stream_server import make_stream_server
 from bilberryspring.policy.quarantine import Content
 from bilberryspring.process.router_peers import (
+    DATAGRAM_HEADER_BYTES,
     MAX_FANOUT,
     WATCHER_COUNT,
     make_router_peers,
@@ -282,6 +283,32 @@
     assert len(set(sent)) == len(sent) == MAX_FANOUT
 
 
+def test_news_of_crashes_are_sent_within_the_byte_budget():
+    node = Node()
+    sent_bytes = []
+
+    class Transport:
+        def sendto(self, data, address):
+            sent_bytes.append(len(data) + DATAGRAM_HEADER_BYTES)
+
+        def is_closing(self):
+            return False
+
+    for content in range(6):
+        for crash in range(8):
+            node.suspects.record_crash(crash, [Content(content << 50, False)])
+    node.peers._transport = Transport()
+    node.peers.add_addresses([f"127.0.2.{number}" for number in range(100)])
+    # News come all the time, beside the regular reports.
+    begin_s = time.monotonic()
+    for step in range(50):
+        node.peers._read_clock = lambda step=step: begin_s + 0.1 * step
+        node.peers._report_news()
+        if step % 2 == 0:
+            node.peers._send_report(begin_s + 0.1 * step)
+    assert 5_000 * 5 <= sum(sent_bytes) <= 10_000 * 5
+
+
 def find_port():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
