Keep more crashes of a content than a report holds

A record kept the first 8 crashes since the last answer. A part that had more before it was quarantined explained only these 8, so two later crashes with a sound part in progress quarantined that part, with delays of 60 s and more until a test.

The new test failed before: SHARED, in 3 of 24 crashes of DEADLY, was refused ("led to 3 crashes"). A record now keeps up to 64 crashes; reports still hold the latest 8.

--- a/bilberryspring/request/suspect_contents.py
+++ b/bilberryspring/request/suspect_contents.py
@@ -38,6 +38,8 @@
 # Evidence is forgotten this long after the last change of it.
 RECORD_TTL_S = 600.0
 MAX_RECORDS = 1024
+# A part that crashes many servers before it is found explains their other contents.
+MAX_CRASHES_PER_RECORD = 64
 # Prompt parts that were answered, at about 150 bytes each.
 MAX_ANSWERED_PARTS = 16_384
 # Changed evidence is reported for this long, so that every router receives it from
@@ -290,9 +292,9 @@
                 )
         if crash in record.crashed_s:
             return False
-        if len(record.crashed_s) >= MAX_CRASHES_PER_SUSPECT:
+        if len(record.crashed_s) >= MAX_CRASHES_PER_RECORD:
             record.crashed_s = record.list_unanswered()
-        if len(record.crashed_s) >= MAX_CRASHES_PER_SUSPECT:
+        if len(record.crashed_s) >= MAX_CRASHES_PER_RECORD:
             # The first crashes are kept, since these led to other contents as well.
             return False
         record.crashed_s[crash] = crashed_s
--- a/bilberryspring/request/tests/test_suspect_contents.py
+++ b/bilberryspring/request/tests/test_suspect_contents.py
@@ -16,6 +16,7 @@
 from bilberryspring.request import suspect_contents
 from bilberryspring.request.errors import ErrorKind
 from bilberryspring.request.suspect_contents import (
+    MAX_CRASHES_PER_RECORD,
     MAX_RECORDS,
     NEWS_LIFETIME_S,
     RECORD_TTL_S,
@@ -118,6 +119,18 @@
         assert router.admit([DEADLY]) is not None
 
 
+def test_part_is_not_quarantined_for_crashes_of_a_part_that_had_many_before(clock):
+    suspects = make_suspect_contents(clock)
+    count = 3 * MAX_CRASHES_PER_SUSPECT
+    for crash in range(1, count + 1):
+        clock.now_s += 0.1
+        suspects.record_crash(
+            crash, [DEADLY, SHARED] if crash > count - 3 else [DEADLY]
+        )
+    assert suspects.admit([DEADLY]) is not None
+    assert suspects.admit([SHARED]) is None
+
+
 def test_news_come_to_rest(clock):
     routers = [make_suspect_contents(clock) for _ in range(4)]
     routers[3].record_answer([SHARED])
@@ -205,7 +218,7 @@
         suspects.record_crash(number, [Content(number, False), DEADLY])
         suspects.record_answer([Content(number, False)])
     assert len(suspects._records) <= MAX_RECORDS
-    assert len(suspects._records[DEADLY].crashed_s) <= MAX_CRASHES_PER_SUSPECT
+    assert len(suspects._records[DEADLY].crashed_s) <= MAX_CRASHES_PER_RECORD
     assert len(suspects._answered_parts_s) <= 50
     assert suspects.admit([DEADLY]) is not None
     assert len(suspects.list_reports(6)) == 6
