Let a quarantined part explain crashes before its last answer too

A part that turns deadly while answers to it are still arriving had its first crashes cleared by these answers.

The new test failed before: the sound part was an extra item of the result.

--- a/bilberryspring/policy/quarantine.py
+++ b/bilberryspring/policy/quarantine.py
@@ -7,7 +7,7 @@
 and a content to which all crashes lead explains them for the others.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from typing import NamedTuple, NewType
 
@@ -57,10 +57,13 @@
 
     :param crashed_s: times of the crashes since its last answer, by crash.
     :param is_proven: whether a request with it was ever answered.
+    :param answered_crashes: crashes before its last answer. These don't count against
+        it, but it explains them if it is quarantined.
     """
 
     crashed_s: Mapping[CrashHash, float]
     is_proven: bool = False
+    answered_crashes: Collection[CrashHash] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +122,7 @@
                 len(crashed_s), max(crashed_s.values()), is_ambiguous
             )
             explained |= unexplained.pop(content)
+            explained.update(crashed_s, evidence[content].answered_crashes)
         for crashes in unexplained.values():
             crashes -= explained
 
--- a/bilberryspring/policy/tests/test_quarantine.py
+++ b/bilberryspring/policy/tests/test_quarantine.py
@@ -58,6 +58,15 @@
     assert find(evidence) == {DEADLY}
 
 
+def test_part_that_turned_deadly_explains_crashes_before_its_last_answer():
+    crashes = make_crashes(1.0, 2.0, 3.0, 4.0)
+    evidence = {
+        SUBJECT: Evidence(make_crashes(0.2, 0.5)),
+        DEADLY: Evidence(crashes, True, make_crashes(0.2, 0.5)),
+    }
+    assert find(evidence) == {DEADLY}
+
+
 def test_two_deadly_parts_are_both_quarantined():
     evidence = {
         DEADLY: Evidence(make_crashes(1.0, 2.0, 3.0)),
--- a/bilberryspring/request/suspect_contents.py
+++ b/bilberryspring/request/suspect_contents.py
@@ -330,6 +330,12 @@
     def _is_proven(self, content: Content) -> bool:
         return self._records[content].answered_s > -math.inf
 
+    def _make_evidence(self, content: Content) -> Evidence:
+        record = self._records[content]
+        unanswered = record.list_unanswered()
+        answered_crashes = record.crashed_s.keys() - unanswered.keys()
+        return Evidence(unanswered, self._is_proven(content), answered_crashes)
+
     def _evaluate(self, now_s: float) -> None:
         """Derive the quarantines from the evidence if either has changed."""
         is_current = now_s - self._evaluated_s < MAX_EVALUATION_AGE_S
@@ -343,10 +349,7 @@
             del self._records[content]
         previous = self._quarantined
         self._quarantined = find_quarantined(
-            {
-                content: Evidence(record.list_unanswered(), self._is_proven(content))
-                for content, record in self._records.items()
-            },
+            {content: self._make_evidence(content) for content in self._records},
             now_s,
         )
         for content in self._quarantined.keys() - previous.keys():
