Report contents of most crashes first

Crashes of a part that was answered before came last in reports of six contents, behind every other part and request that was in progress at a crash. So routers learned of them late, and a part that turned deadly was refused late.

--- a/bilberryspring/request/suspect_contents.py
+++ b/bilberryspring/request/suspect_contents.py
@@ -21,6 +21,7 @@
     SuspectReport,
 )
 from bilberryspring.policy.quarantine import (
+    CRASHES_OF_UNPROVEN,
     TRIAL_SPREAD,
     Content,
     ContentHash,
@@ -255,14 +256,16 @@
 
     def _make_news_key(
         self, content: Content, now_s: float
-    ) -> tuple[bool, bool, float]:
+    ) -> tuple[bool, bool, int, float]:
         record = self._records[content]
+        unanswered = len(record.list_unanswered())
         is_needed = (
             not self._is_proven(content)
+            or unanswered >= CRASHES_OF_UNPROVEN
             or content in self._quarantined
             or now_s - record.requested_s < NEWS_LIFETIME_S
         )
-        return not is_needed, content.is_request, -record.changed_s
+        return not is_needed, content.is_request, -unanswered, -record.changed_s
 
     def _make_report(self, content: Content, now_s: float) -> SuspectReport:
         record = self._records[content]
