Test a proven part after the first delay although many servers crashed at once

Seen: in a test, a part in use at six servers that crash within 0.5 s is refused for 600 s (printed "assert 600.0 == 15.0"). Cause: each crash above two counts as a failed test, also those before the quarantine. Change: crashes of the time of observation count as none. Parts without any answer keep their delays.

--- a/bilberryspring/policy/quarantine.py
+++ b/bilberryspring/policy/quarantine.py
@@ -73,11 +73,14 @@
     :param crash_count: number of crashes that led to it.
     :param last_crash_s: monotonic time of the last of these.
     :param is_ambiguous: whether the same crashes lead to another prompt part.
+    :param untested_crash_count: number of crashes that preceded the quarantine; each
+        further one is a test that failed.
     """
 
     crash_count: int
     last_crash_s: float
     is_ambiguous: bool
+    untested_crash_count: int = CRASHES_OF_UNPROVEN
 
 
 def find_quarantined(
@@ -119,7 +122,10 @@
         for content in culprits:
             crashed_s = evidence[content].crashed_s
             quarantined[content] = Quarantine(
-                len(crashed_s), max(crashed_s.values()), is_ambiguous
+                len(crashed_s),
+                max(crashed_s.values()),
+                is_ambiguous,
+                _count_untested(evidence[content]),
             )
             explained |= unexplained.pop(content)
             explained.update(crashed_s, evidence[content].answered_crashes)
@@ -134,6 +140,14 @@
     return crash_count >= CRASHES_OF_PROVEN and observed_s >= PROVEN_OBSERVATION_S
 
 
+def _count_untested(evidence: Evidence) -> int:
+    if not evidence.is_proven:
+        return CRASHES_OF_UNPROVEN
+    observed_s = min(evidence.crashed_s.values()) + PROVEN_OBSERVATION_S
+    early_count = sum(crash_s < observed_s for crash_s in evidence.crashed_s.values())
+    return max(CRASHES_OF_PROVEN, early_count)
+
+
 def compute_trial_delay(
     quarantine: Quarantine, draw: float = 0.0, *, tests_others: bool = False
 ) -> float:
@@ -153,7 +167,7 @@
     >>> compute_trial_delay(Quarantine(3, 10.0, is_ambiguous=False), draw=1.0)
     90.0
     """
-    further_crashes = quarantine.crash_count - CRASHES_OF_UNPROVEN
+    further_crashes = quarantine.crash_count - quarantine.untested_crash_count
     if quarantine.is_ambiguous and further_crashes <= 0 and not tests_others:
         delay_s = AMBIGUOUS_TRIAL_DELAY_S
     else:
--- a/bilberryspring/policy/tests/test_quarantine.py
+++ b/bilberryspring/policy/tests/test_quarantine.py
@@ -8,6 +8,8 @@
 from bilberryspring.policy.quarantine import (
     AMBIGUOUS_TRIAL_DELAY_S,
     MAX_TRIAL_DELAY_S,
+    TRIAL_DELAY_FACTOR,
+    TRIAL_DELAY_S,
     Content,
     Evidence,
     compute_trial_delay,
@@ -96,3 +98,13 @@
         delays_s.append(compute_trial_delay(quarantine))
     assert delays_s == sorted(delays_s)
     assert delays_s[0] >= 10.0 and delays_s[3] == delays_s[-1] == MAX_TRIAL_DELAY_S
+
+
+def test_part_in_use_when_a_pool_crashed_at_once_is_tested_after_the_first_delay():
+    crashes = make_crashes(1.0, 1.1, 1.2, 1.3, 1.4, 1.5)
+    evidence = {INSTRUCTIONS: Evidence(crashes, is_proven=True)}
+    quarantine = find_quarantined(evidence, 10.0)[INSTRUCTIONS]
+    assert compute_trial_delay(quarantine) == TRIAL_DELAY_S
+    evidence = {INSTRUCTIONS: Evidence(crashes | {7: 20.0}, is_proven=True)}
+    quarantine = find_quarantined(evidence, 30.0)[INSTRUCTIONS]
+    assert compute_trial_delay(quarantine) == TRIAL_DELAY_S * TRIAL_DELAY_FACTOR
