Forget the oldest quarantine when evidence of nothing else is kept

Seen: in a test with every record quarantined, the next crash raised KeyError; by the code, StopIteration if the new one is quarantined as well. Reports of a faulty router suffice. Cause: the new record was the only one that could be forgotten. Change: room is made before a record is added, of a quarantined content if there is no other.

--- a/bilberryspring/request/suspect_contents.py
+++ b/bilberryspring/request/suspect_contents.py
@@ -288,6 +288,7 @@
         """Add a crash to the evidence; return whether the others need it at once."""
         record = self._records.get(content)
         if record is None:
+            self._make_room()
             record = self._records[content] = _Record()
             if not content.is_request:
                 record.answered_s = self._answered_parts_s.get(
@@ -319,13 +320,19 @@
         record.changed_s = self._read_clock()
         record.trial_draw = random.random()
         self._records.move_to_end(content)
-        if len(self._records) > MAX_RECORDS:
-            oldest = next(
-                each for each in self._records if each not in self._quarantined
-            )
-            del self._records[oldest]
         self._is_changed = True
 
+    def _make_room(self) -> None:
+        """Forget the oldest evidence, of a quarantined content if there is no other."""
+        if len(self._records) < MAX_RECORDS:
+            return
+        oldest = next(
+            (each for each in self._records if each not in self._quarantined),
+            next(iter(self._records)),
+        )
+        del self._records[oldest]
+        self._quarantined.pop(oldest, None)
+
     def _announce(self) -> None:
         for callback in self.news_callbacks:
             callback()
--- a/bilberryspring/request/tests/test_suspect_contents.py
+++ b/bilberryspring/request/tests/test_suspect_contents.py
@@ -222,3 +222,16 @@
     assert len(suspects._answered_parts_s) <= 50
     assert suspects.admit([DEADLY]) is not None
     assert len(suspects.list_reports(6)) == 6
+
+
+def test_quarantines_that_fill_the_memory_do_not_break_later_evidence(
+    clock, monkeypatch
+):
+    monkeypatch.setattr(suspect_contents, "MAX_RECORDS", 2)
+    suspects = make_suspect_contents(clock)
+    for content in (DEADLY, SHARED, Content(4, False)):
+        suspects.record_crash(1, [content])
+        suspects.record_crash(2, [content])
+        assert suspects.admit([content]) is not None
+    assert len(suspects._records) <= 2
+    assert suspects.admit([DEADLY]) is None
