Do not learn crashes again that other routers are about to forget

Seen: in a test, two routers that learned of a quarantine 60 s apart still had it after 1,800 s ("assert not True"), against a lifetime of 600 s. Cause: quarantines are always reported, and what is learned from a report lives anew. Change: crashes older than the lifetime are not added.

--- a/bilberryspring/request/suspect_contents.py
+++ b/bilberryspring/request/suspect_contents.py
@@ -286,6 +286,9 @@
 
     def _add_crash(self, content: Content, crash: CrashHash, crashed_s: float) -> bool:
         """Add a crash to the evidence; return whether the others need it at once."""
+        if self._read_clock() - crashed_s >= RECORD_TTL_S:
+            # Reports between routers must not keep forgotten evidence alive.
+            return False
         record = self._records.get(content)
         if record is None:
             self._make_room()
--- a/bilberryspring/request/tests/test_suspect_contents.py
+++ b/bilberryspring/request/tests/test_suspect_contents.py
@@ -235,3 +235,17 @@
         assert suspects.admit([content]) is not None
     assert len(suspects._records) <= 2
     assert suspects.admit([DEADLY]) is None
+
+
+def test_routers_do_not_keep_a_quarantine_alive_by_reports_to_each_other(clock):
+    routers = [make_suspect_contents(clock) for _ in range(2)]
+    for crash in (1, 2):
+        routers[0].record_crash(crash, [DEADLY])
+    clock.now_s += 60
+    routers[1].merge(routers[0].list_reports(6))
+    for _ in range(round(3 * RECORD_TTL_S / 7)):
+        clock.now_s += 7
+        routers[0].merge(routers[1].list_reports(6))
+        clock.now_s += 0.25
+        routers[1].merge(routers[0].list_reports(6))
+    assert not any(router.count_quarantined() for router in routers)
