Record a crash although its request ends during the check

Seen: in a test whose requests meet their deadline while the server's address is probed, two crashes quarantined nothing ("assert 0 > 0"). Cause: awaiting a task passes the cancellation of the request on to it. Change: the request waits without owning it.

--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -261,7 +261,8 @@
                 return last_failure
             if request.attempts >= request.route.max_servers + 1:
                 return last_failure
-            await crash_check
+            # A request that ends meanwhile must not cancel the check.
+            await asyncio.wait([crash_check])
             if self._suspects.is_unproven_suspect(progress.contents):
                 await asyncio.sleep(SUSPECT_RETRY_DELAY_S)
 
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -20,6 +20,7 @@
 )
 from bilberryspring.request.suspect_contents import make_suspect_contents
 from bilberryspring.request.tests.relay_fixtures import (
+    ScriptedBackendCalls,
     make_head,
     make_lost_connection,
     make_prompt,
@@ -557,3 +558,27 @@
         assert answer.is_broken
     else:
         assert answer.failure.kind is ErrorKind.BACKEND_FAILED
+
+
+async def test_crash_is_recorded_although_its_request_meets_its_deadline(monkeypatch):
+    check = ScriptedBackendCalls.check_reachability
+
+    async def check_slowly(calls, server):
+        await asyncio.sleep(0.2)
+        return await check(calls, server)
+
+    monkeypatch.setattr(ScriptedBackendCalls, "check_reachability", check_slowly)
+    suspects = make_suspect_contents()
+    route = make_route(ExecutionRule.REPEATABLE, max_servers=5)
+    prompt = make_prompt(("deadly", 100), ("own", 10))
+    for server in ("a", "b"):
+        await relay(
+            route,
+            [[make_lost_connection()]],
+            servers=(server,),
+            down=(server,),
+            suspects=suspects,
+            prompt=prompt,
+            deadline_s=0.1,
+        )
+    assert suspects.count_quarantined() > 0
