Do not take errors of servers for answers to a prompt part

Seen: in a test, a relayed 500 between two crashes cleared the first, and a third server got the part. Cause: each relayed response counted as an answer. Change: those with a status of 500 and above do not.

--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -230,7 +230,8 @@
                 return last_failure
             result = await self._try_server(request, reservation, progress)
             if not isinstance(result, Failure):
-                self._suspects.record_answer(progress.contents)
+                if progress.status < 500:
+                    self._suspects.record_answer(progress.contents)
                 return result
             crash_check = self._start_crash_check(progress, reservation.record, result)
             request.tried_server_ids.add(reservation.record.server.server_id)
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -582,3 +582,16 @@
             deadline_s=0.1,
         )
     assert suspects.count_quarantined() > 0
+
+
+async def test_error_of_a_server_does_not_clear_a_prompt_part_that_crashes_servers():
+    suspects = make_suspect_contents()
+    prompt = make_prompt(("deadly", 100), ("own", 10))
+    await crash_servers(suspects, ("a",), "deadly")
+    answer, _ = await relay(
+        ONCE_ROUTE, [[make_head(500), b"why", None]], suspects=suspects, prompt=prompt
+    )
+    assert answer.is_finished
+    await crash_servers(suspects, ("b",), "deadly")
+    _, calls = await relay_prompt(suspects, "deadly")
+    assert not calls.sent
