Let the end of a stream clear no crashes since it began

Seen: in a test, a stream that began before a crash on its part cleared this crash when it ended (age of the answer 0.0001 s, 0.2 s or more expected). Cause: a stream counted as an answer at its end again.

--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -230,7 +230,8 @@
                 return last_failure
             result = await self._try_server(request, reservation, progress)
             if not isinstance(result, Failure):
-                if progress.status < 500:
+                # The end of a longer stream says nothing on crashes since it began.
+                if not progress.is_proven and progress.status < 500:
                     self._suspects.record_answer(progress.contents)
                 return result
             crash_check = self._start_crash_check(progress, reservation.record, result)
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -18,12 +18,16 @@
     MIN_STALL_S,
     STALL_PAUSE_FACTOR,
 )
-from bilberryspring.request.suspect_contents import make_suspect_contents
+from bilberryspring.request.suspect_contents import (
+    list_contents,
+    make_suspect_contents,
+)
 from bilberryspring.request.tests.relay_fixtures import (
     ScriptedBackendCalls,
     make_head,
     make_lost_connection,
     make_prompt,
+    make_request,
     make_route,
     relay,
 )
@@ -595,3 +599,19 @@
     await crash_servers(suspects, ("b",), "deadly")
     _, calls = await relay_prompt(suspects, "deadly")
     assert not calls.sent
+
+
+async def test_end_of_a_stream_does_not_clear_crashes_since_it_began():
+    suspects = make_suspect_contents()
+    stream = [make_head(), b"id: 1\n\n", 0.3, b"id: 2\n\n", 0.3, None]
+    prompt = make_prompt(("deadly", 100), ("own", 10))
+    running = asyncio.create_task(
+        relay(STREAM_ROUTE, [stream], suspects=suspects, prompt=prompt)
+    )
+    await asyncio.sleep(0.45)
+    crashed = make_prompt(("deadly", 100), ("other", 10))
+    contents = list_contents(make_request(STREAM_ROUTE, prompt=crashed))
+    suspects.record_crash(1, contents)
+    await running
+    reported = [each for each in suspects.list_reports(6) if not each.is_request]
+    assert reported[0].answer_age_s > 0.2
