Count a test of a quarantined part only when its request is sent

Callers of a sound part that was quarantined by mistake stayed refused for one more delay (15 to 600 s) if the one request that was to test it found no free capacity: the router noted the test before it asked for a server. Found in review, by reading. Now it is noted when capacity is reserved. A crash also keeps the earliest time that was reported for it, since delays of reports make it appear later; it is named after the server as listed when the request failed; and reports without room for all quarantines choose among them.

--- a/bilberryspring/policy/tests/crash_replay.py
+++ b/bilberryspring/policy/tests/crash_replay.py
@@ -355,19 +355,18 @@
     async def try_servers(self, router, contents, outcome):
         tried, suspects = set(), router.suspects
         while True:
-            if suspects.admit(contents) is not None:
+            if suspects.find_refusal(contents) is not None:
                 return "broken" if outcome.sent_s else "quarantined"
             server = await self.find_server(tried)
             if server is None:
                 return "broken" if outcome.sent_s else "waited"
-            if suspects.find_refusal(contents) is not None:
+            if suspects.admit(contents) is not None:
                 return "broken" if outcome.sent_s else "quarantined"
             outcome.sent_s.append(self.loop.time())
             tried.add(server)
             begun = []
             crash = await self.run_at(router, server, contents, outcome, begun)
             if crash is None:
-                suspects.record_answer(contents)
                 return "answered"
             # The router tries to connect, to learn that the server is down.
             await asyncio.sleep(2 * NETWORK_DELAY_S)
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -17,6 +17,7 @@
     Reachability,
 )
 from bilberryspring.capability.routing import (
+    BackendServer,
     ExecutionRule,
     IncomingRequest,
     PoolLimits,
@@ -272,7 +273,7 @@
         self, request: IncomingRequest, progress: ResponseProgress
     ) -> Reservation | Failure:
         """Reserve capacity for a request unless its contents may crash the server."""
-        refusal = self._suspects.admit(progress.contents)
+        refusal = self._suspects.find_refusal(progress.contents)
         if refusal is not None:
             return refusal
         reservation = await self._dispatcher.acquire(
@@ -281,7 +282,7 @@
         if isinstance(reservation, Failure):
             return reservation
         # A crash may have become known while the request waited.
-        refusal = self._suspects.find_refusal(progress.contents)
+        refusal = self._suspects.admit(progress.contents)
         if refusal is not None:
             self._dispatcher.release(reservation)
             return refusal
@@ -292,19 +293,24 @@
     ) -> asyncio.Task[None]:
         suspects = () if progress.is_proven else progress.contents
         crash_check = asyncio.create_task(
-            self._check_for_crash(suspects, record, failure)
+            self._check_for_crash(suspects, record, record.server, failure)
         )
         self._crash_checks.add(crash_check)
         crash_check.add_done_callback(self._crash_checks.discard)
         return crash_check
 
     async def _check_for_crash(
-        self, suspects: tuple[Content, ...], record: ServerRecord, failure: Failure
+        self,
+        suspects: tuple[Content, ...],
+        record: ServerRecord,
+        server: BackendServer,
+        failure: Failure,
     ) -> None:
         """Record a crash of the server if that is why the request failed.
 
         :param suspects: contents of the request; none if the server had answered.
         :param record: record of the server.
+        :param server: the server as it was listed when the request failed.
         :param failure: the failure of the request.
         """
         if (
@@ -312,7 +318,6 @@
             or failure.outcome is not Outcome.UNKNOWN
         ):
             return
-        server = record.server
         reachability = await self._calls.check_reachability(server)
         if reachability is Reachability.REACHABLE:
             return
--- a/bilberryspring/request/suspect_contents.py
+++ b/bilberryspring/request/suspect_contents.py
@@ -22,7 +22,6 @@
 )
 from bilberryspring.policy.quarantine import (
     CRASHES_OF_UNPROVEN,
-    TRIAL_SPREAD,
     Content,
     ContentHash,
     CrashHash,
@@ -87,71 +86,59 @@
         self._is_changed = False
         self.news_callbacks: list[Callable[[], None]] = []
 
-    def admit(self, contents: Sequence[Content]) -> Failure | None:
-        """Decide whether a request may be sent to a server.
-
-        A quarantined content is tested by one request of this router at a time.
+    def find_refusal(self, contents: Sequence[Content]) -> Failure | None:
+        """Return why a request must not be sent to a server.
 
         :param contents: contents of the request.
         :returns: a ``REQUEST_QUARANTINED`` failure, ``None`` if it may be sent.
 
         >>> suspects, roll = make_suspect_contents(), [Content(7, False)]
         >>> suspects.record_crash(CrashHash(1), roll)
-        >>> suspects.admit(roll) is None
+        >>> suspects.find_refusal(roll) is None
         True
         >>> suspects.record_crash(CrashHash(2), roll)
-        >>> suspects.admit(roll).kind.value
+        >>> suspects.find_refusal(roll).kind.value
         'request_quarantined'
         >>> suspects.record_answer(roll)
-        >>> suspects.admit(roll) is None
+        >>> suspects.find_refusal(roll) is None
         True
         """
-        refusal = self.find_refusal(contents)
-        if refusal is not None or not self._quarantined:
-            return refusal
+        if not self._records:
+            return None
         now_s = self._read_clock()
-        tested, tests_others = self._list_quarantined(contents)
-        for content in tested:
-            quarantine, tested_s = (
-                self._quarantined[content],
-                self._records[content].tested_s,
+        self._evaluate(now_s)
+        quarantined, tests_others = self._list_quarantined(contents)
+        for content in quarantined:
+            quarantine, record = self._quarantined[content], self._records[content]
+            shortest_s, drawn_s, longest_s = (
+                compute_trial_delay(quarantine, draw, tests_others=tests_others)
+                for draw in (0.0, record.trial_draw, 1.0)
             )
-            delay_s = compute_trial_delay(quarantine, tests_others=tests_others)
-            if now_s < tested_s + delay_s:
-                due_s = tested_s + delay_s * (1 + TRIAL_SPREAD)
+            crashed_s, tested_s = quarantine.last_crash_s, record.tested_s
+            if now_s < crashed_s + drawn_s or now_s < tested_s + shortest_s:
+                due_s = max(crashed_s, tested_s) + longest_s
                 return _make_refusal(content, quarantine, due_s - now_s)
-        for content in tested:
-            self._records[content].tested_s = now_s
-            log_event(
-                "content_tested",
-                content=_format_hash(content),
-                crashes=self._quarantined[content].crash_count,
-            )
         return None
 
-    def find_refusal(self, contents: Iterable[Content]) -> Failure | None:
-        """Return why a request must not be sent although it was admitted.
+    def admit(self, contents: Sequence[Content]) -> Failure | None:
+        """Decide whether a request is sent to a server now.
+
+        A request that is sent with a quarantined content tests it. This router sends no
+        other one with it before the result can be known.
 
         :param contents: contents of the request.
-        :returns: a ``REQUEST_QUARANTINED`` failure, ``None`` if it may be sent.
+        :returns: a ``REQUEST_QUARANTINED`` failure, ``None`` if the request is sent.
         """
-        if not self._records:
-            return None
-        now_s = self._read_clock()
-        self._evaluate(now_s)
-        quarantined, tests_others = self._list_quarantined(contents)
-        for content in quarantined:
-            quarantine, draw = (
-                self._quarantined[content],
-                self._records[content].trial_draw,
+        refusal = self.find_refusal(contents)
+        if refusal is not None:
+            return refusal
+        for content in self._list_quarantined(contents)[0]:
+            self._records[content].tested_s = self._read_clock()
+            log_event(
+                "content_tested",
+                content=_format_hash(content),
+                crashes=self._quarantined[content].crash_count,
             )
-            delay_s = compute_trial_delay(quarantine, draw, tests_others=tests_others)
-            if now_s < quarantine.last_crash_s + delay_s:
-                delay_s = compute_trial_delay(
-                    quarantine, 1.0, tests_others=tests_others
-                )
-                due_s = quarantine.last_crash_s + delay_s
-                return _make_refusal(content, quarantine, due_s - now_s)
         return None
 
     def _list_quarantined(
@@ -248,7 +235,9 @@
             if now_s - max(record.changed_s, record.requested_s) < NEWS_LIFETIME_S
         ]
         news.sort(key=lambda each: self._make_news_key(each, now_s))
-        kept = [each for each in self._quarantined if each not in news]
+        kept = list(self._quarantined.keys() - set(news))
+        # A report may have room for some of them only.
+        random.shuffle(kept)
         kept.sort(key=lambda each: each.is_request)
         return tuple(
             self._make_report(content, now_s) for content in [*news, *kept][:count]
@@ -298,6 +287,8 @@
                     content.content_hash, -math.inf
                 )
         if crash in record.crashed_s:
+            # Delays of reports make a crash appear later than it was.
+            record.crashed_s[crash] = min(record.crashed_s[crash], crashed_s)
             return False
         if len(record.crashed_s) >= MAX_CRASHES_PER_RECORD:
             record.crashed_s = record.list_unanswered()
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -265,15 +265,14 @@
     prompt = make_prompt(("deadly", 100), ("own", 10))
     admit = suspects.admit
 
-    def admit_then_learn(contents):
-        refusal = admit(contents)
+    def learn_and_admit(contents):
         for crash in (1, 2):
             suspects.record_crash(crash, contents)
-        return refusal
+        return admit(contents)
 
-    suspects.admit = admit_then_learn
+    suspects.admit = learn_and_admit
     answer, calls = await relay(
-        STREAM_ROUTE, [COMPLETE_RESPONSE], suspects=suspects, prompt=prompt
+        STREAM_ROUTE, [COMPLETE_STREAM], suspects=suspects, prompt=prompt
     )
     assert not calls.sent
     assert answer.failure.kind is ErrorKind.REQUEST_QUARANTINED
--- a/bilberryspring/request/tests/test_suspect_contents.py
+++ b/bilberryspring/request/tests/test_suspect_contents.py
@@ -157,8 +157,9 @@
     suspects.record_crash(2, [DEADLY])
     assert suspects.admit([DEADLY]).retry_after_s > LAST_TRIAL_DELAY_S
     clock.now_s += LAST_TRIAL_DELAY_S
-    assert suspects.admit([DEADLY]) is None
     assert suspects.find_refusal([DEADLY]) is None
+    assert suspects.admit([DEADLY]) is None
+    assert suspects.find_refusal([DEADLY]).retry_after_s > LAST_TRIAL_DELAY_S
     assert suspects.admit([DEADLY]).retry_after_s > LAST_TRIAL_DELAY_S
     suspects.record_crash(3, [DEADLY])
     assert suspects.find_refusal([DEADLY]) is not None
