--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -350,13 +350,13 @@
         assert (seals, body) == ([b"s"], b"hi"), (cut, head)
 
 
-async def test_connection_of_a_refused_request_is_not_used_again():
+async def test_connection_of_a_refused_request_is_not_used_again(start):
     refusal = (
         "HTTP/1.1 503 No\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"
         "Content-Length: 4\r\n\r\nfull"
     )
     scripted_server = ScriptedServer(refusal, make_response("b"))
-    server, calls = await scripted_server.start(), make_server_calls()
+    server, calls = await start(scripted_server)
     request = make_request(make_route(), request_id="a")
     exchange = await calls.begin(server, request, 2.0)
     assert (await exchange.read_head()).was_not_run
@@ -364,7 +364,6 @@
     assert (await send_request(calls, server, "b")).is_success
     assert scripted_server.connections == 2
     calls.close()
-    scripted_server.server.close()
 
 
 @pytest.mark.parametrize("body_bytes", [200_000, 20_000_000])
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -45,11 +45,11 @@
 MIN_NEWS_INTERVAL_S = 0.1
 MAX_FANOUT = 10
 MIN_FANOUT = 3
-MIN_NEWS_FANOUT = 1
 # A node may spend 10 KB/s on control traffic; the rest is left for snapshots.
 MAX_REPORT_BYTES_PER_S = 9_000
-# Unspent bytes that a router may spend later; jitter makes some intervals longer.
-MAX_BUDGET_BYTES = MAX_REPORT_BYTES_PER_S * REPORT_INTERVAL_S * 1.1
+# News spend what the regular reports leave of this.
+MAX_CONTROL_BYTES_PER_S = 10_000
+MAX_BUDGET_BYTES = MAX_CONTROL_BYTES_PER_S * REPORT_INTERVAL_S
 DATAGRAM_HEADER_BYTES = 28
 # The load of a router counts for this long after its last report.
 REPORT_LIFETIME_S = 1.5
@@ -277,12 +277,10 @@
         if not targets or self._transport is None or self._transport.is_closing():
             return
         self._budget_bytes = min(
-            self._budget_bytes + (now_s - self._budgeted_s) * MAX_REPORT_BYTES_PER_S,
+            self._budget_bytes + (now_s - self._budgeted_s) * MAX_CONTROL_BYTES_PER_S,
             MAX_BUDGET_BYTES,
         )
         self._budgeted_s = now_s
-        if self._budget_bytes <= 0:
-            return
         loads = [
             RouterLoad(
                 hash_name(server_id),
@@ -312,9 +310,10 @@
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
-        fanout = _choose_fanout(size_bytes, self._budget_bytes, is_news)
-        fanout = min(fanout, len(targets))
-        if not is_news:
+        fanout = min(_choose_fanout(size_bytes), len(targets))
+        if is_news:
+            fanout = min(fanout, max(int(self._budget_bytes // size_bytes), 0))
+        else:
             self._fanout = fanout
         self._budget_bytes -= fanout * size_bytes
         for ip in random.sample(targets, fanout):
@@ -461,21 +460,16 @@
         return age_s >= 0 and (own_age_s < 0 or age_s < own_age_s)
 
 
-def _choose_fanout(size_bytes: int, budget_bytes: float, is_news: bool) -> int:
-    """Return how many routers a report is sent to.
+def _choose_fanout(size_bytes: int) -> int:
+    """Return how many routers each report is sent to.
 
     :param size_bytes: size of the datagram.
-    :param budget_bytes: bytes that may be sent now; a regular report may overdraw them,
-        so that the other routers keep hearing of this one.
-    :param is_news: whether news are reported ahead of the regular report.
-
-    >>> [_choose_fanout(size, 2250.0, False) for size in (100, 430, 1400)]
-    [10, 5, 3]
-    >>> _choose_fanout(430, 900.0, True), _choose_fanout(430, 200.0, True)
-    (2, 1)
+
+    >>> _choose_fanout(128), _choose_fanout(428), _choose_fanout(1428)
+    (10, 5, 3)
     """
-    min_fanout = MIN_NEWS_FANOUT if is_news else MIN_FANOUT
-    return int(min(max(budget_bytes // size_bytes, min_fanout), MAX_FANOUT))
+    bytes_per_s = size_bytes / REPORT_INTERVAL_S
+    return int(min(max(MAX_REPORT_BYTES_PER_S // bytes_per_s, MIN_FANOUT), MAX_FANOUT))
 
 
 def _make_watcher_key(has_fast_link: bool, instance_id: InstanceId) -> tuple[bool, int]:
