Keep regular reports as they were; let news of crashes spend what they leave

Evidence takes the place of the digests in the report, so that a report without it has the size that it had. The budget of 9 KB/s binds reports with evidence only.

--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -11,18 +11,20 @@
   loads @5 :List(RouterLoad);
   serversDigest @6 :UInt64;
   serversAgeMs @7 :Int64;
-  obsoleteCrashes @8 :List(ContentCrashes);
+  suspects @8 :List(SuspectContent);
   hasFastLink @9 :Bool;
   statements @10 :List(ServerStatement);
-  suspects @11 :List(SuspectContent);
 }
 
 struct SuspectContent {
-  contentHash @0 :UInt64;
-  crashes @1 :List(SuspectCrash);
+  # The first two fields are those of former builds, which pass over entries without them.
+  obsoleteDigest @0 :Text;
+  obsoleteCrashIds @1 :List(Text);
+  contentHash @2 :UInt64;
+  crashes @3 :List(SuspectCrash);
   # Zero if the content was never answered, else one more than the age.
-  answerAgeMs @2 :UInt32;
-  isRequest @3 :Bool;
+  answerAgeMs @4 :UInt32;
+  isRequest @5 :Bool;
 }
 
 struct SuspectCrash {
@@ -36,11 +38,6 @@
   ageMs @2 :UInt16;
 }
 
-struct ContentCrashes {
-  digest @0 :Text;
-  crashIds @1 :List(Text);
-}
-
 struct RouterLoad {
   server @0 :UInt64;
   requests @1 :UInt16;
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -47,9 +47,8 @@
 MIN_FANOUT = 3
 # A node may spend 10 KB/s on control traffic; the rest is left for snapshots.
 MAX_REPORT_BYTES_PER_S = 9_000
-# News spend what the regular reports leave of this.
-MAX_CONTROL_BYTES_PER_S = 10_000
-MAX_BUDGET_BYTES = MAX_CONTROL_BYTES_PER_S * REPORT_INTERVAL_S
+# Unspent bytes that a router may spend later on news.
+MAX_BUDGET_BYTES = MAX_REPORT_BYTES_PER_S * REPORT_INTERVAL_S
 DATAGRAM_HEADER_BYTES = 28
 # The load of a router counts for this long after its last report.
 REPORT_LIFETIME_S = 1.5
@@ -277,7 +276,7 @@
         if not targets or self._transport is None or self._transport.is_closing():
             return
         self._budget_bytes = min(
-            self._budget_bytes + (now_s - self._budgeted_s) * MAX_CONTROL_BYTES_PER_S,
+            self._budget_bytes + (now_s - self._budgeted_s) * MAX_REPORT_BYTES_PER_S,
             MAX_BUDGET_BYTES,
         )
         self._budgeted_s = now_s
@@ -293,6 +292,7 @@
             if record.requests or record.is_suspected_locally(now_s)
         ]
         loads.sort(key=lambda load: (not load.is_suspected, -load.requests))
+        suspects = self._suspects.list_reports(MAX_SUSPECTS)
         self._sequence += 1
         data = encode_report(
             RouterReport(
@@ -304,16 +304,17 @@
                 tuple(loads[:MAX_LOADS]),
                 self._servers.digest,
                 self._feed.age_s,
-                self._suspects.list_reports(MAX_SUSPECTS),
+                suspects,
                 self._has_fast_link,
                 self._list_statements(now_s),
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
         fanout = min(_choose_fanout(size_bytes), len(targets))
-        if is_news:
-            fanout = min(fanout, max(int(self._budget_bytes // size_bytes), 0))
-        else:
+        if suspects:
+            affordable = max(int(self._budget_bytes // size_bytes), 0)
+            fanout = min(fanout, affordable if is_news else max(affordable, 1))
+        if not is_news:
             self._fanout = fanout
         self._budget_bytes -= fanout * size_bytes
         for ip in random.sample(targets, fanout):
