--- a/bilberryspring/policy/quarantine.py
+++ b/bilberryspring/policy/quarantine.py
@@ -17,7 +17,7 @@
     "CrashHash",
     "Evidence",
     "Quarantine",
-    "compute_trial_delay",
+    "compute_test_delay",
     "find_quarantined",
 ]
 
@@ -32,12 +32,13 @@
 PROVEN_OBSERVATION_S = 2.0
 # After this time without a crash, one request may test whether the content still
 # crashes servers. Each further crash makes the time longer by the factor.
-TRIAL_DELAY_S = 15.0
-TRIAL_DELAY_FACTOR = 4.0
-MAX_TRIAL_DELAY_S = 600.0
-TRIAL_SPREAD = 0.5
+TEST_DELAY_S = 15.0
+TEST_DELAY_FACTOR = 4.0
+MAX_TEST_DELAY_S = 600.0
+# Each router draws a delay that is up to this share longer.
+TEST_SPREAD = 0.5
 # If the same crashes lead to several prompt parts, a test soon tells them apart.
-AMBIGUOUS_TRIAL_DELAY_S = 1.0
+AMBIGUOUS_TEST_DELAY_S = 1.0
 
 
 class Content(NamedTuple):
@@ -148,7 +149,7 @@
     return max(CRASHES_OF_PROVEN, early_count)
 
 
-def compute_trial_delay(
+def compute_test_delay(
     quarantine: Quarantine, draw: float = 0.0, *, tests_others: bool = False
 ) -> float:
     """Return how long after its last crash one request may test a content.
@@ -162,14 +163,14 @@
         its result does not tell them apart.
     :returns: seconds.
 
-    >>> compute_trial_delay(Quarantine(2, 10.0, is_ambiguous=True))
+    >>> compute_test_delay(Quarantine(2, 10.0, is_ambiguous=True))
     1.0
-    >>> compute_trial_delay(Quarantine(3, 10.0, is_ambiguous=False), draw=1.0)
+    >>> compute_test_delay(Quarantine(3, 10.0, is_ambiguous=False), draw=1.0)
     90.0
     """
     further_crashes = quarantine.crash_count - quarantine.untested_crash_count
     if quarantine.is_ambiguous and further_crashes <= 0 and not tests_others:
-        delay_s = AMBIGUOUS_TRIAL_DELAY_S
+        delay_s = AMBIGUOUS_TEST_DELAY_S
     else:
-        delay_s = TRIAL_DELAY_S * TRIAL_DELAY_FACTOR**further_crashes
-    return min(delay_s, MAX_TRIAL_DELAY_S) * (1 + TRIAL_SPREAD * draw)
+        delay_s = TEST_DELAY_S * TEST_DELAY_FACTOR**further_crashes
+    return min(delay_s, MAX_TEST_DELAY_S) * (1 + TEST_SPREAD * draw)
--- a/bilberryspring/policy/tests/test_quarantine.py
+++ b/bilberryspring/policy/tests/test_quarantine.py
@@ -6,13 +6,13 @@
 """
 
 from bilberryspring.policy.quarantine import (
-    AMBIGUOUS_TRIAL_DELAY_S,
-    MAX_TRIAL_DELAY_S,
-    TRIAL_DELAY_FACTOR,
-    TRIAL_DELAY_S,
+    AMBIGUOUS_TEST_DELAY_S,
+    MAX_TEST_DELAY_S,
+    TEST_DELAY_FACTOR,
+    TEST_DELAY_S,
     Content,
     Evidence,
-    compute_trial_delay,
+    compute_test_delay,
     find_quarantined,
 )
 
@@ -84,8 +84,8 @@
     }
     quarantined = find_quarantined(evidence, 2.0)
     assert set(quarantined) == {DEADLY, SUBJECT}
-    delays_s = {compute_trial_delay(each) for each in quarantined.values()}
-    assert delays_s == {AMBIGUOUS_TRIAL_DELAY_S}
+    delays_s = {compute_test_delay(each) for each in quarantined.values()}
+    assert delays_s == {AMBIGUOUS_TEST_DELAY_S}
     evidence[DEADLY] = Evidence(make_crashes(1.0, 2.0, 3.0))
     assert find(evidence) == {DEADLY}
 
@@ -95,16 +95,16 @@
     for count in range(2, 9):
         crashes = make_crashes(*range(count))
         quarantine = find_quarantined({DEADLY: Evidence(crashes)}, 10.0)[DEADLY]
-        delays_s.append(compute_trial_delay(quarantine))
+        delays_s.append(compute_test_delay(quarantine))
     assert delays_s == sorted(delays_s)
-    assert delays_s[0] >= 10.0 and delays_s[3] == delays_s[-1] == MAX_TRIAL_DELAY_S
+    assert delays_s[0] >= 10.0 and delays_s[3] == delays_s[-1] == MAX_TEST_DELAY_S
 
 
 def test_part_in_use_when_a_pool_crashed_at_once_is_tested_after_the_first_delay():
     crashes = make_crashes(1.0, 1.1, 1.2, 1.3, 1.4, 1.5)
     evidence = {INSTRUCTIONS: Evidence(crashes, is_proven=True)}
     quarantine = find_quarantined(evidence, 10.0)[INSTRUCTIONS]
-    assert compute_trial_delay(quarantine) == TRIAL_DELAY_S
+    assert compute_test_delay(quarantine) == TEST_DELAY_S
     evidence = {INSTRUCTIONS: Evidence(crashes | {7: 20.0}, is_proven=True)}
     quarantine = find_quarantined(evidence, 30.0)[INSTRUCTIONS]
-    assert compute_trial_delay(quarantine) == TRIAL_DELAY_S * TRIAL_DELAY_FACTOR
+    assert compute_test_delay(quarantine) == TEST_DELAY_S * TEST_DELAY_FACTOR
--- a/bilberryspring/request/suspect_contents.py
+++ b/bilberryspring/request/suspect_contents.py
@@ -27,7 +27,7 @@
     CrashHash,
     Evidence,
     Quarantine,
-    compute_trial_delay,
+    compute_test_delay,
     find_quarantined,
 )
 from bilberryspring.process.logs import log_event
@@ -59,7 +59,7 @@
     changed_s: float = 0.0
     tested_s: float = -math.inf
     requested_s: float = -math.inf
-    trial_draw: float = 0.0
+    test_draw: float = 0.0
 
     def list_unanswered(self) -> dict[CrashHash, float]:
         """Return the times of the crashes since the last answer."""
@@ -111,8 +111,8 @@
         for content in quarantined:
             quarantine, record = self._quarantined[content], self._records[content]
             shortest_s, drawn_s, longest_s = (
-                compute_trial_delay(quarantine, draw, tests_others=tests_others)
-                for draw in (0.0, record.trial_draw, 1.0)
+                compute_test_delay(quarantine, draw, tests_others=tests_others)
+                for draw in (0.0, record.test_draw, 1.0)
             )
             crashed_s, tested_s = quarantine.last_crash_s, record.tested_s
             if now_s < crashed_s + drawn_s or now_s < tested_s + shortest_s:
@@ -312,7 +312,7 @@
 
     def _record_change(self, content: Content, record: _Record) -> None:
         record.changed_s = self._read_clock()
-        record.trial_draw = random.random()
+        record.test_draw = random.random()
         self._records.move_to_end(content)
         self._is_changed = True
 
--- a/bilberryspring/request/tests/test_suspect_contents.py
+++ b/bilberryspring/request/tests/test_suspect_contents.py
@@ -8,9 +8,9 @@
 
 from bilberryspring.connection.router_reports import MAX_CRASHES_PER_SUSPECT
 from bilberryspring.policy.quarantine import (
-    AMBIGUOUS_TRIAL_DELAY_S,
-    TRIAL_DELAY_S,
-    TRIAL_SPREAD,
+    AMBIGUOUS_TEST_DELAY_S,
+    TEST_DELAY_S,
+    TEST_SPREAD,
     Content,
 )
 from bilberryspring.request import suspect_contents
@@ -32,7 +32,7 @@
 
 DEADLY, SHARED = Content(1, False), Content(2, False)
 REQUEST = Content(3, True)
-LAST_TRIAL_DELAY_S = TRIAL_DELAY_S * (1 + TRIAL_SPREAD)
+LAST_TEST_DELAY_S = TEST_DELAY_S * (1 + TEST_SPREAD)
 
 
 class Clock:
@@ -155,12 +155,12 @@
     suspects = make_suspect_contents(clock)
     suspects.record_crash(1, [DEADLY])
     suspects.record_crash(2, [DEADLY])
-    assert suspects.admit([DEADLY]).retry_after_s > LAST_TRIAL_DELAY_S
-    clock.now_s += LAST_TRIAL_DELAY_S
+    assert suspects.admit([DEADLY]).retry_after_s > LAST_TEST_DELAY_S
+    clock.now_s += LAST_TEST_DELAY_S
     assert suspects.find_refusal([DEADLY]) is None
     assert suspects.admit([DEADLY]) is None
-    assert suspects.find_refusal([DEADLY]).retry_after_s > LAST_TRIAL_DELAY_S
-    assert suspects.admit([DEADLY]).retry_after_s > LAST_TRIAL_DELAY_S
+    assert suspects.find_refusal([DEADLY]).retry_after_s > LAST_TEST_DELAY_S
+    assert suspects.admit([DEADLY]).retry_after_s > LAST_TEST_DELAY_S
     suspects.record_crash(3, [DEADLY])
     assert suspects.find_refusal([DEADLY]) is not None
 
@@ -171,11 +171,11 @@
         router.record_crash(1, [DEADLY])
         router.record_crash(2, [DEADLY])
     begun_s, counts = clock.now_s, []
-    for delay_s in (0, TRIAL_DELAY_S, (TRIAL_DELAY_S + LAST_TRIAL_DELAY_S) / 2):
+    for delay_s in (0, TEST_DELAY_S, (TEST_DELAY_S + LAST_TEST_DELAY_S) / 2):
         clock.now_s = begun_s + delay_s
         counts.append(sum(router.find_refusal([DEADLY]) is None for router in routers))
     assert counts[0] == counts[1] == 0 < counts[2] < 50
-    clock.now_s = begun_s + LAST_TRIAL_DELAY_S
+    clock.now_s = begun_s + LAST_TEST_DELAY_S
     assert all(router.find_refusal([DEADLY]) is None for router in routers)
 
 
@@ -183,7 +183,7 @@
     suspects = make_suspect_contents(clock)
     suspects.record_crash(1, [DEADLY])
     suspects.record_crash(2, [DEADLY])
-    clock.now_s += LAST_TRIAL_DELAY_S
+    clock.now_s += LAST_TEST_DELAY_S
     assert suspects.admit([DEADLY]) is None
     suspects.record_answer([DEADLY])
     assert suspects.admit([DEADLY]) is None and suspects.count_quarantined() == 0
@@ -194,7 +194,7 @@
     suspects.record_crash(1, [SHARED, DEADLY])
     suspects.record_crash(2, [SHARED, DEADLY])
     assert suspects.admit([SHARED]) is not None
-    clock.now_s += AMBIGUOUS_TRIAL_DELAY_S * (1 + TRIAL_SPREAD)
+    clock.now_s += AMBIGUOUS_TEST_DELAY_S * (1 + TEST_SPREAD)
     assert suspects.admit([SHARED, DEADLY]) is not None
     assert suspects.admit([SHARED]) is None
     suspects.record_answer([SHARED])
