--- /dev/null
+++ b/bilberryspring/platform/configuration_watcher.py
@@ -0,0 +1,73 @@
+"""Watch the operator's configuration in the metadata store."""
+
+from collections.abc import Callable, Iterable
+
+from bilberryspring.capability.routing import RoutingTable
+from bilberryspring.connection.router_reports import SnapshotEntry
+from bilberryspring.platform.document_decoders import decode_routing_table
+from bilberryspring.platform.metadata_messages import StoreItem
+from bilberryspring.platform.metadata_store import MetadataStore
+from bilberryspring.platform.store_follower import follow_prefix
+from bilberryspring.process.logs import log_event
+from bilberryspring.request.errors import Failure
+
+__all__ = ["ConfigurationWatcher"]
+
+CONFIGURATION_KEY = "op/config"
+# A watch on a stalled connection reports no changes. Reports of other routers announce
+# newer versions in the meantime.
+CONFIGURATION_WATCH_WAIT_S = 10.0
+
+
+class ConfigurationWatcher:
+    """A watcher of the configuration, which ignores older versions.
+
+    :param store: client of the store.
+    :param apply_table: called with each routing table of a newer version.
+    """
+
+    def __init__(
+        self, store: MetadataStore, apply_table: Callable[[RoutingTable], None]
+    ):
+        self._store = store
+        self._apply_table = apply_table
+        self._version = -1
+        self.is_store_watcher: Callable[[], bool] = lambda: True
+        self.entry: SnapshotEntry | None = None
+
+    def apply_entry(self, entry: SnapshotEntry) -> None:
+        """Apply the configuration entry that another router sent.
+
+        :param entry: entry of the store as that router last read it.
+        """
+        self._apply_item(StoreItem(entry.key, entry.value, entry.revision))
+
+    async def run(self) -> None:
+        """Watch the configuration until cancelled."""
+        await follow_prefix(
+            self._store,
+            CONFIGURATION_KEY,
+            max_wait_s=CONFIGURATION_WATCH_WAIT_S,
+            pause_s=0.0,
+            replace_all=self._apply_items,
+            apply_change=self._apply_item,
+            report_availability=lambda _: None,
+            retries_steadily=lambda: self.is_store_watcher(),
+        )
+
+    def _apply_items(self, items: Iterable[StoreItem]) -> None:
+        for item in items:
+            self._apply_item(item)
+
+    def _apply_item(self, item: StoreItem) -> None:
+        if item.key != CONFIGURATION_KEY or item.value is None:
+            return
+        table = decode_routing_table(item.value, item.revision)
+        if isinstance(table, Failure):
+            log_event("update_refused", level="ERROR", reason=table.reason)
+            return
+        if table.version <= self._version:
+            return
+        self._version = table.version
+        self.entry = SnapshotEntry(item.key, item.value, item.revision)
+        self._apply_table(table)
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -22,17 +22,17 @@
     decode_request,
     make_http_caller_response,
 )
+from bilberryspring.platform.configuration_watcher import (
+    CONFIGURATION_KEY,
+    ConfigurationWatcher,
+)
 from bilberryspring.platform.metadata_store import make_metadata_store
 from bilberryspring.platform.router_discovery import make_router_discovery
+from bilberryspring.platform.server_list_watcher import ServerListWatcher
 from bilberryspring.platform.settings_file import (
     MachineSettings,
     load_machine_settings,
 )
-from bilberryspring.platform.store_watchers import (
-    CONFIGURATION_KEY,
-    ConfigurationWatcher,
-    ServerListWatcher,
-)
 from bilberryspring.process.addresses import split_address
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
--- a/bilberryspring/platform/store_watchers.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -1,38 +1,26 @@
-"""Watch the operator's configuration and the list of backend servers in the store."""
+"""Watch the list of backend servers in the metadata store."""
 
 import asyncio
-import random
 import time
 from collections.abc import Callable, Iterable
 
-from bilberryspring.capability.routing import RoutingTable
 from bilberryspring.connection.router_reports import SnapshotEntry
 from bilberryspring.identifiers import InstanceId
-from bilberryspring.platform.document_decoders import (
-    decode_routing_table,
-    decode_server,
-)
-from bilberryspring.platform.metadata_messages import HistoryCompacted, StoreItem
+from bilberryspring.platform.document_decoders import decode_server
+from bilberryspring.platform.metadata_messages import StoreItem
 from bilberryspring.platform.metadata_store import MetadataStore
+from bilberryspring.platform.store_follower import follow_prefix
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_table import ServerTable
 from bilberryspring.request.errors import Failure
 
-__all__ = ["ConfigurationWatcher", "ServerListWatcher", "follow_prefix"]
+__all__ = ["ServerListWatcher"]
 
-CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
-# A watch on a stalled connection reports no changes. Reports of other routers announce
-# newer versions in the meantime.
-CONFIGURATION_WATCH_WAIT_S = 10.0
 # Servers write their entries at different times; the pause lets one response hold the
 # changes of several servers.
 SERVER_WATCH_PAUSE_S = 0.35
 SERVER_WATCH_WAIT_S = 1.0
-STORE_RETRY_DELAY_S = 0.15
-# Routers that watch for all others retry without a backoff. The others hear from them
-# when the store is back; without a backoff, their calls would grow with the fleet.
-MAX_RETRY_DELAY_S = 1.5
 # Servers whose entries expired during an outage of the store write them again within
 # about two seconds of its recovery. A server that left during the outage must receive
 # no requests after that.
@@ -50,146 +38,6 @@
 # Fraction of the drain grace period. A router that relies on other routers' lists
 # watches the store itself once their latest confirmation is older than this.
 PEER_LIST_AGE_SHARE = 0.45
-PEER_LIST_POLL_S = 0.1
-
-
-async def follow_prefix(
-    store: MetadataStore,
-    prefix: str,
-    *,
-    max_wait_s: float,
-    pause_s: float,
-    replace_all: Callable[[Iterable[StoreItem]], None],
-    apply_change: Callable[[StoreItem], None],
-    report_availability: Callable[[bool], None],
-    may_skip_watching: Callable[[], bool] = lambda: False,
-    needs_full_list: Callable[[], bool] = lambda: False,
-    retries_steadily: Callable[[], bool] = lambda: True,
-) -> None:
-    """Keep a view of all keys with a prefix up to date, until cancelled.
-
-    :param store: client of the store.
-    :param prefix: prefix of the keys; a whole key is allowed.
-    :param max_wait_s: longest time in seconds that the store holds a watch request
-        without a change.
-    :param pause_s: pause in seconds after a response with changes, so that the next
-        response holds several changes.
-    :param replace_all: called with every item after a full list.
-    :param apply_change: called with each change that a watch returns.
-    :param report_availability: called after each call of the store; true if the store
-        responded.
-    :param may_skip_watching: returns true while other routers watch the prefix for
-        this one.
-    :param needs_full_list: returns true if the view was replaced by another router's
-        since the last call. Changes since the last revision known here could then
-        replace newer items by older ones.
-    :param retries_steadily: returns true if failed calls are repeated without a
-        backoff.
-    """
-    revision = None
-    failures = 0
-    while True:
-        if may_skip_watching():
-            await asyncio.sleep(PEER_LIST_POLL_S)
-            continue
-        if needs_full_list():
-            revision = None
-        if revision is None:
-            result = await store.list_prefix(prefix)
-            if not isinstance(result, Failure):
-                failures = 0
-                report_availability(True)
-                replace_all(result.items)
-                revision = result.revision
-                continue
-        else:
-            result = await store.watch_prefix(prefix, revision, max_wait_s)
-            if isinstance(result, HistoryCompacted):
-                log_event(
-                    "dependency_lost", dependency=prefix, reason="history compacted"
-                )
-                revision = None
-                continue
-            if not isinstance(result, Failure):
-                failures = 0
-                report_availability(True)
-                for item in result.items:
-                    apply_change(item)
-                revision = result.revision
-                await asyncio.sleep(pause_s if result.items else 0)
-                continue
-        report_availability(False)
-        log_event(
-            "dependency_lost",
-            level="WARNING",
-            dependency=f"store {prefix}",
-            reason=result.reason,
-        )
-        failures = 1 if retries_steadily() else failures + 1
-        await asyncio.sleep(_draw_retry_delay_s(failures))
-
-
-def _draw_retry_delay_s(failures: int) -> float:
-    """Draw the pause before a failed call of the store is repeated.
-
-    :param failures: number of calls that failed in succession.
-    """
-    delay_s = min(STORE_RETRY_DELAY_S * 2.0 ** (failures - 1), MAX_RETRY_DELAY_S)
-    return delay_s * random.uniform(0.75, 1.25)
-
-
-class ConfigurationWatcher:
-    """A watcher of the configuration, which ignores older versions.
-
-    :param store: client of the store.
-    :param apply_table: called with each routing table of a newer version.
-    """
-
-    def __init__(
-        self, store: MetadataStore, apply_table: Callable[[RoutingTable], None]
-    ):
-        self._store = store
-        self._apply_table = apply_table
-        self._version = -1
-        self.is_store_watcher: Callable[[], bool] = lambda: True
-        self.entry: SnapshotEntry | None = None
-
-    def apply_entry(self, entry: SnapshotEntry) -> None:
-        """Apply the configuration entry that another router sent.
-
-        :param entry: entry of the store as that router last read it.
-        """
-        self._apply_item(StoreItem(entry.key, entry.value, entry.revision))
-
-    async def run(self) -> None:
-        """Watch the configuration until cancelled."""
-        await follow_prefix(
-            self._store,
-            CONFIGURATION_KEY,
-            max_wait_s=CONFIGURATION_WATCH_WAIT_S,
-            pause_s=0.0,
-            replace_all=self._apply_items,
-            apply_change=self._apply_item,
-            report_availability=lambda _: None,
-            retries_steadily=lambda: self.is_store_watcher(),
-        )
-
-    def _apply_items(self, items: Iterable[StoreItem]) -> None:
-        for item in items:
-            self._apply_item(item)
-
-    def _apply_item(self, item: StoreItem) -> None:
-        if item.key != CONFIGURATION_KEY or item.value is None:
-            return
-        table = decode_routing_table(item.value, item.revision)
-        if isinstance(table, Failure):
-            log_event("update_refused", level="ERROR", reason=table.reason)
-            return
-        if table.version <= self._version:
-            return
-        self._version = table.version
-        self.entry = SnapshotEntry(item.key, item.value, item.revision)
-        self._apply_table(table)
 
 
 class ServerListWatcher:
--- /dev/null
+++ b/bilberryspring/platform/store_follower.py
@@ -0,0 +1,103 @@
+"""Follow the keys with a prefix in the metadata store."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from bilberryspring.platform.metadata_messages import HistoryCompacted, StoreItem
+from bilberryspring.platform.metadata_store import MetadataStore
+from bilberryspring.process.logs import log_event
+from bilberryspring.request.errors import Failure
+
+__all__ = ["follow_prefix"]
+
+STORE_RETRY_DELAY_S = 0.15
+# Routers that watch for all others retry without a backoff. The others hear from them
+# when the store is back; without a backoff, their calls would grow with the fleet.
+MAX_RETRY_DELAY_S = 1.5
+PEER_LIST_POLL_S = 0.1
+
+
+async def follow_prefix(
+    store: MetadataStore,
+    prefix: str,
+    *,
+    max_wait_s: float,
+    pause_s: float,
+    replace_all: Callable[[Iterable[StoreItem]], None],
+    apply_change: Callable[[StoreItem], None],
+    report_availability: Callable[[bool], None],
+    may_skip_watching: Callable[[], bool] = lambda: False,
+    needs_full_list: Callable[[], bool] = lambda: False,
+    retries_steadily: Callable[[], bool] = lambda: True,
+) -> None:
+    """Keep a view of all keys with a prefix up to date, until cancelled.
+
+    :param store: client of the store.
+    :param prefix: prefix of the keys; a whole key is allowed.
+    :param max_wait_s: longest time in seconds that the store holds a watch request
+        without a change.
+    :param pause_s: pause in seconds after a response with changes, so that the next
+        response holds several changes.
+    :param replace_all: called with every item after a full list.
+    :param apply_change: called with each change that a watch returns.
+    :param report_availability: called after each call of the store; true if the store
+        responded.
+    :param may_skip_watching: returns true while other routers watch the prefix for
+        this one.
+    :param needs_full_list: returns true if the view was replaced by another router's
+        since the last call. Changes since the last revision known here could then
+        replace newer items by older ones.
+    :param retries_steadily: returns true if failed calls are repeated without a
+        backoff.
+    """
+    revision = None
+    failures = 0
+    while True:
+        if may_skip_watching():
+            await asyncio.sleep(PEER_LIST_POLL_S)
+            continue
+        if needs_full_list():
+            revision = None
+        if revision is None:
+            result = await store.list_prefix(prefix)
+            if not isinstance(result, Failure):
+                failures = 0
+                report_availability(True)
+                replace_all(result.items)
+                revision = result.revision
+                continue
+        else:
+            result = await store.watch_prefix(prefix, revision, max_wait_s)
+            if isinstance(result, HistoryCompacted):
+                log_event(
+                    "dependency_lost", dependency=prefix, reason="history compacted"
+                )
+                revision = None
+                continue
+            if not isinstance(result, Failure):
+                failures = 0
+                report_availability(True)
+                for item in result.items:
+                    apply_change(item)
+                revision = result.revision
+                await asyncio.sleep(pause_s if result.items else 0)
+                continue
+        report_availability(False)
+        log_event(
+            "dependency_lost",
+            level="WARNING",
+            dependency=f"store {prefix}",
+            reason=result.reason,
+        )
+        failures = 1 if retries_steadily() else failures + 1
+        await asyncio.sleep(_draw_retry_delay_s(failures))
+
+
+def _draw_retry_delay_s(failures: int) -> float:
+    """Draw the pause before a failed call of the store is repeated.
+
+    :param failures: number of calls that failed in succession.
+    """
+    delay_s = min(STORE_RETRY_DELAY_S * 2.0 ** (failures - 1), MAX_RETRY_DELAY_S)
+    return delay_s * random.uniform(0.75, 1.25)
--- a/bilberryspring/platform/tests/test_store_watchers.py
+++ b/bilberryspring/platform/tests/test_store_watchers.py
@@ -14,12 +14,10 @@
 
 from bilberryspring.connection.router_reports import SnapshotEntry
 from bilberryspring.load.virtual_clock import run_on_virtual_clock
+from bilberryspring.platform.configuration_watcher import ConfigurationWatcher
 from bilberryspring.platform.metadata_messages import StoreItem, StoreListing
 from bilberryspring.platform.metadata_store import make_metadata_store
-from bilberryspring.platform.store_watchers import (
-    ConfigurationWatcher,
-    ServerListWatcher,
-)
+from bilberryspring.platform.server_list_watcher import ServerListWatcher
 from bilberryspring.platform.tests.platform_standin import (
     CONFIGURATION,
     ServerStandin,
