Report only suspicions of a router's own

Cause: the end of the avoidance, which reports of others extend, also decided whether a router reports a suspicion. Ruled out: requests that never end in the router's books, a list without the servers, the loads that the stand-ins stated.

Change: the backoff after own failures is a field of its own, and only it is reported. The test fails on the code before.

--- a/bilberryspring/platform/tests/test_soak.py
+++ b/bilberryspring/platform/tests/test_soak.py
@@ -30,6 +30,8 @@
 RESTORATION_SEEDS = (
     # A configuration that was accepted right after a restoration never came into force.
     *(6, 8),
+    # Routers repeated each other's suspicions of sound servers without end.
+    15,
 )
 TEST_PATH = "bilberryspring/platform/tests/test_soak.py"
 
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -107,6 +107,8 @@
     :param consecutive_failures: failures that made it avoided since the last success.
     :param failure_rate: moving average of the share of failed requests.
     :param avoided_until_s: end of the current backoff; in the past if there is none.
+    :param suspected_until_s: end of the backoff after this router's own observations,
+        without that which other routers' reports added.
     :param slowness: moving average of the response time over the expected time.
     :param slowness_sampled_s: when the slowness was last sampled.
     :param sent_parts: prompt parts that this router sent there, the latest last.
@@ -132,6 +134,7 @@
     consecutive_failures: int = 0
     failure_rate: float = 0.0
     avoided_until_s: float = 0.0
+    suspected_until_s: float = 0.0
     slowness: float = 1.0
     slowness_sampled_s: float = 0.0
     sent_parts: OrderedDict[PartId, None] = field(default_factory=OrderedDict)
@@ -234,10 +237,12 @@
     def is_suspected_locally(self, now_s: float) -> bool:
         """Return whether this router itself observed failures or a timeout of it.
 
+        Reports of other routers don't count: routers that repeat each other's reports
+        would avoid it for ever.
+
         :param now_s: monotonic time.
         """
-        has_failed = self.consecutive_failures > 0 and now_s < self.avoided_until_s
-        return has_failed or self.is_silent(now_s)
+        return now_s < self.suspected_until_s or self.is_silent(now_s)
 
     def avoid_on_report(self, until_s: float, sender: str) -> None:
         """Avoid it because another router reports that it fails.
@@ -336,7 +341,7 @@
         """Record a successful response and end the backoff."""
         self.consecutive_failures = 0
         self.failure_rate *= 1 - FAILURE_RATE_SMOOTHING
-        self.avoided_until_s = 0.0
+        self.avoided_until_s = self.suspected_until_s = 0.0
 
     def record_failure(
         self, reason: str, now_s: float, *, is_down: bool = False
@@ -356,7 +361,8 @@
             INITIAL_AVOIDANCE_S * 2 ** (self.consecutive_failures - 1), MAX_AVOIDANCE_S
         )
         was_avoided = now_s < self.avoided_until_s
-        self.avoided_until_s = max(self.avoided_until_s, now_s + pause_s)
+        self.suspected_until_s = now_s + pause_s
+        self.avoided_until_s = max(self.avoided_until_s, self.suspected_until_s)
         if not was_avoided:
             log_event(
                 "instance_suspected",
--- a/bilberryspring/process/tests/test_router_peers.py
+++ b/bilberryspring/process/tests/test_router_peers.py
@@ -137,6 +137,19 @@
     assert not record.is_suspected_locally(time.monotonic())
 
 
+def test_routers_do_not_repeat_a_suspicion_that_only_others_report():
+    node = Node()
+    record = node.servers.records["a"]
+    failed_s = time.monotonic() - 10.0
+    for _ in range(3):
+        record.record_failure("down", failed_s, is_down=True)
+    assert not record.is_avoided(time.monotonic())
+    node.receive_report("x", "127.0.0.2", [make_load(3, is_suspected=True)])
+    node.update_loads()
+    assert record.is_avoided(time.monotonic())
+    assert not record.is_suspected_locally(time.monotonic())
+
+
 def test_a_reported_suspicion_is_ignored_if_the_server_just_responded():
     node = Node()
     record = node.servers.records["a"]
