Answer a request that a stop finds part read

Cause: after a response the connection closed at once during a shutdown unless a whole request was queued; a request of which a part was read did not count. The close was announced only if the response began after the stop.

Fix: a connection closes after a response only if this response has announced it, and none announces it while the next request is being read. The drain closes idle connections as before.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -248,11 +248,9 @@
                 self._must_close = self._must_close or request.closes_connection
                 await self._handle_or_fail(request)
                 self._is_handling = False
-                if (
-                    self._must_close
-                    or self._policy.is_shutting_down
-                    and not self._requests
-                ):
+                # A response that began before a shutdown has not announced the close;
+                # the next request may be on its way.
+                if self._must_close:
                     break
                 if not self._requests and not self._receive_started_s:
                     self._set_timer(self._policy.limits.idle_timeout_s)
@@ -336,7 +334,8 @@
         :param length_bytes: length of the body, ``None`` for chunked encoding.
         :raises CallerGoneError: if the caller closed the connection.
         """
-        if self._policy.is_shutting_down and not self._requests:
+        has_next = bool(self._requests or self._receive_started_s)
+        if self._policy.is_shutting_down and not has_next:
             self._must_close = True
         lines = [f"HTTP/1.1 {status} {reason}\r\n".encode("latin-1")]
         lines += [b"%b: %b\r\n" % field for field in headers]
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -35,12 +35,17 @@
         if request.error_status:
             connection.start_response(request.error_status, "Fault", [], 0)
             return
+        if request.target == b"/slow":
+            connection.start_response(200, "OK", [], None)
         if self.may_respond is not None:
             try:
                 await self.may_respond.wait()
             except asyncio.CancelledError:
                 self.cancelled_count += 1
                 raise
+        if request.target == b"/slow":
+            connection.finish()
+            return
         if request.target == b"/defect":
             raise ValueError("defect of the handler")
         if request.target == b"/broken":
@@ -239,3 +244,22 @@
             return await asyncio.to_thread(caller.recv, 1000)
 
     assert uvloop.run(send_in_a_pause()).startswith(b"HTTP/1.1 200")
+
+
+async def test_request_that_is_part_read_when_a_stop_ends_the_response_before_it():
+    server = CallerServer()
+    server.may_respond = asyncio.Event()
+    reader, writer = await server.start()
+    writer.write(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nh")
+    await asyncio.sleep(0.05)
+    server.policy.is_shutting_down = True
+    server.may_respond.set()
+    await asyncio.sleep(0.05)
+    for connection in list(server.connections):
+        connection.close_if_idle()
+    writer.write(b"i")
+    received = await read_until_closed(reader)
+    assert b"Connection: close" not in head
+    assert received.endswith(b"\r\n\r\nhi") and b"Connection: close" in received
