Time out a request that stalls behind a long response

Callers saw: a connection that stayed open without an answer or a refusal when the request before took longer than the header timeout and the next one was part read meanwhile.

Cause: the timeout does nothing while a request is handled, and was set anew after a response only if nothing of the next request had been read.

Fix: the timer starts anew after each response, with the limit for what is awaited: a head, or a body or a request.

Evidence: test_request_that_stalls_behind_a_long_response_is_timed_out failed on the code before (neither 408 nor a close within 3 s) and passes.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -100,6 +100,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._receive_started_s = 0.0
+        self._has_head = False
         self._error_status = 0
 
     # Callbacks of the asyncio transport.
@@ -111,7 +112,7 @@
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
-        self._set_timer(self._policy.limits.idle_timeout_s)
+        self._restart_timer()
 
     def data_received(self, data: bytes) -> None:
         """Feed received bytes to the parser, and reject malformed input."""
@@ -120,7 +121,7 @@
             return
         if not self._receive_started_s:
             self._receive_started_s = read_boot_time_s()
-            self._set_timer(self._policy.limits.header_timeout_s)
+            self._restart_timer()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -178,7 +179,8 @@
 
     def on_headers_complete(self) -> None:
         """Check how the body is delimited, and reply to ``Expect: 100-continue``."""
-        self._set_timer(self._policy.limits.idle_timeout_s)
+        self._has_head = True
+        self._restart_timer()
         content_lengths = set(self._find_header_values(b"content-length"))
         transfer_codings = self._find_header_values(b"transfer-encoding")
         if (
@@ -252,8 +254,8 @@
                 # the next request may be on its way.
                 if self._must_close:
                     break
-                if not self._requests and not self._receive_started_s:
-                    self._set_timer(self._policy.limits.idle_timeout_s)
+                if not self._requests:
+                    self._restart_timer()
         except asyncio.CancelledError:
             if not self._is_disconnected:
                 raise
@@ -290,11 +292,17 @@
             is_shutting_down=self._policy.is_shutting_down,
         )
 
-    def _set_timer(self, delay_s: float) -> None:
+    def _restart_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._handle_timeout)
+        self._timer = loop.call_later(self._get_time_limit_s(), self._handle_timeout)
+
+    def _get_time_limit_s(self) -> float:
+        """Return how long the connection may wait for what it receives next."""
+        limits = self._policy.limits
+        is_reading_head = self._receive_started_s and not self._has_head
+        return limits.header_timeout_s if is_reading_head else limits.idle_timeout_s
 
     def _handle_timeout(self) -> None:
         if self._is_handling or self._requests:
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -290,3 +290,14 @@
 
     first, second = uvloop.run(send_in_a_pause())
     assert first.endswith(b"hi") and second.endswith(b"hi")
+
+
+async def test_request_that_stalls_behind_a_long_response_is_timed_out():
+    server = CallerServer(make_policy(header_s=0.2, idle_s=0.3))
+    server.may_respond = asyncio.Event()
+    reader, writer = await server.start()
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHo")
+    await asyncio.sleep(0.5)
+    server.may_respond.set()
+    received = await read_until_closed(reader)
+    assert received.startswith(b"HTTP/1.1 200") and b"HTTP/1.1 408" in received
