Let connections that are idle at a change keep open for a longer limit

Cause: the timer of a connection ran with the limit that was in force when it was set.

Fix: a timeout that fires reads the limit again and waits for the rest of a longer one. A limit that has become shorter holds from the next wait on, since the caller may not know it yet; this was so before and now has a test.

Evidence: test_caller_keeps_the_longer_idle_time_across_a_change[0.3-3.0] failed on the code before (closed without an answer) and passes; [3.0-0.3] passed before too.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -90,6 +90,7 @@
         self._is_handling = False
         self._is_response_aborted = False
         self._opened_s = 0.0
+        self._wait_started_s = 0.0
         self._has_received = False
         self._reset_message()
 
@@ -293,10 +294,14 @@
         )
 
     def _restart_timer(self) -> None:
+        self._wait_started_s = asyncio.get_running_loop().time()
+        self._set_timer(self._get_time_limit_s())
+
+    def _set_timer(self, delay_s: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._get_time_limit_s(), self._handle_timeout)
+        self._timer = loop.call_later(delay_s, self._handle_timeout)
 
     def _get_time_limit_s(self) -> float:
         """Return how long the connection may wait for what it receives next."""
@@ -307,7 +312,13 @@
     def _handle_timeout(self) -> None:
         if self._is_handling or self._requests:
             return
-        if self._receive_started_s:
+        waited_s = asyncio.get_running_loop().time() - self._wait_started_s
+        left_s = self._get_time_limit_s() - waited_s
+        if left_s > 0:
+            # The limit has grown. One that has shrunk holds from the next wait on:
+            # the caller may not know it yet.
+            self._set_timer(left_s)
+        elif self._receive_started_s:
             self._reject_input(408)
         elif self._transport is not None:
             self._transport.close()
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -301,3 +301,17 @@
     server.may_respond.set()
     received = await read_until_closed(reader)
     assert received.startswith(b"HTTP/1.1 200") and b"HTTP/1.1 408" in received
+
+
+@pytest.mark.parametrize(("former_s", "new_s"), [(0.3, 3.0), (3.0, 0.3)])
+async def test_caller_keeps_the_longer_idle_time_across_a_change(former_s, new_s):
+    # Callers reuse connections for as long as the longer of the two limits allows.
+    server = CallerServer(make_policy(idle_s=former_s))
+    reader, writer = await server.start()
+    request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+    writer.write(request)
+    await reader.readuntil(b"hi")
+    server.policy.limits = make_policy(idle_s=new_s).limits
+    await asyncio.sleep(0.6)
+    writer.write(request)
+    assert (await reader.readuntil(b"hi")).startswith(b"HTTP/1.1 200")
