Log how a caller's connection ends without an answer

Each line, and requests_unanswered, names the caller's address, so that it can be matched with the caller's own record.

test_log_tells_how_a_connection_without_an_answer_ended covers each way.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -89,6 +89,7 @@
         self._must_close = False
         self._is_handling = False
         self._is_response_aborted = False
+        self._caller = ""
         self._opened_s = 0.0
         self._wait_started_s = 0.0
         self._has_received = False
@@ -109,6 +110,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task and the idle timeout of the connection."""
         self._transport = transport
+        # A caller that has already left has no name.
+        peer = transport.get_extra_info("peername")
+        self._caller = f"{peer[0]}:{peer[1]}" if peer else ""
         self._opened_s = asyncio.get_running_loop().time()
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._connections.add(self)
@@ -139,6 +143,15 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
+        open_requests = len(self._requests) + self._is_handling
+        if open_requests and not self._must_close:
+            log_event(
+                "caller_disconnected",
+                caller=self._caller,
+                requests=open_requests,
+                is_begun=self._is_response_started,
+                error=str(exc or ""),
+            )
         self._is_disconnected = True
         self._write_ready.set()
         self._connections.discard(self)
@@ -234,6 +247,14 @@
 
     def _reject_input(self, status: int) -> None:
         self._is_input_rejected = True
+        log_event(
+            "request_unreadable",
+            level="WARNING",
+            status=status,
+            caller=self._caller,
+            has_head=self._has_head,
+            body_bytes=self._body_bytes,
+        )
         self._enqueue(HttpRequest("", b"", [], b"", read_boot_time_s(), status, True))
 
     # Task of the connection.
@@ -288,6 +309,7 @@
         log_event(
             "requests_unanswered",
             level="WARNING",
+            caller=self._caller,
             requests=len(self._requests) + is_cut,
             is_begun=is_cut and self._is_response_started,
             is_shutting_down=self._policy.is_shutting_down,
@@ -320,8 +342,21 @@
             self._set_timer(left_s)
         elif self._receive_started_s:
             self._reject_input(408)
-        elif self._transport is not None:
-            self._transport.close()
+        else:
+            self._close_idle()
+
+    def _close_idle(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        idle_s = asyncio.get_running_loop().time() - self._wait_started_s
+        log_event(
+            "idle_caller_closed",
+            caller=self._caller,
+            idle_s=idle_s,
+            has_received=self._has_received,
+            is_shutting_down=self._policy.is_shutting_down,
+        )
+        self._transport.close()
 
     # Interface for request handlers.
 
@@ -412,8 +447,8 @@
             loop.call_soon(self._close_unless_busy)
 
     def _close_unless_busy(self) -> None:
-        if not self.is_busy and self._transport is not None:
-            self._transport.close()
+        if not self.is_busy:
+            self._close_idle()
 
     def _write(self, data: bytes) -> None:
         if self._is_disconnected or self._transport is None:
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from bilberryspring.capability.routing import CallerLimits
+from bilberryspring.connection import http_caller
 from bilberryspring.connection.caller_policy import CallerPolicy
 from bilberryspring.connection.http_caller import CallerConnection
 
@@ -315,3 +316,56 @@
     await asyncio.sleep(0.6)
     writer.write(request)
     assert (await reader.readuntil(b"hi")).startswith(b"HTTP/1.1 200")
+
+
+async def end_idle(server, reader, writer):
+    await read_until_closed(reader)
+
+
+async def end_inside_a_body(server, reader, writer):
+    writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab")
+    await read_until_closed(reader)
+
+
+async def end_by_the_caller(server, reader, writer):
+    server.may_respond = asyncio.Event()
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    while not server.requests:
+        await asyncio.sleep(0.01)
+    writer.close()
+
+
+async def end_by_a_stop(server, reader, writer):
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    await reader.readuntil(b"\r\n\r\n")
+    server.policy.is_shutting_down = True
+    for connection in list(server.connections):
+        connection.close_if_idle()
+
+
+@pytest.mark.parametrize(
+    ("end", "event", "field"),
+    [
+        (end_idle, "idle_caller_closed", {"is_shutting_down": False}),
+        (end_inside_a_body, "request_unreadable", {"has_head": True, "body_bytes": 2}),
+        (end_by_the_caller, "caller_disconnected", {"requests": 1}),
+        (end_by_a_stop, "idle_caller_closed", {"is_shutting_down": True}),
+    ],
+)
+async def test_log_tells_how_a_connection_without_an_answer_ended(
+    monkeypatch, end, event, field
+):
+    events = []
+    monkeypatch.setattr(
+        http_caller, "log_event", lambda name, **fields: events.append((name, fields))
+    )
+    server = CallerServer()
+    reader, writer = await server.start()
+    caller = "{}:{}".format(*writer.get_extra_info("sockname"))
+    await end(server, reader, writer)
+    async with asyncio.timeout(3):
+        while server.connections:
+            await asyncio.sleep(0.01)
+    writer.close()
+    assert [name for name, _ in events] == [event]
+    assert events[0][1].items() >= {**field, "caller": caller}.items()
