Bound requests within a short grace period too

Callers saw: with a grace period of 3.4 s, requests that may run once were taken up to 2.6 s after the stop, ran and were answered 504 with an unknown outcome.

Cause: requests that may outlast a stop are refused once the load balancer has dropped the router, 2.6 s after the signal. With a short grace period that is just before the end, or after it.

Fix: they are refused from half of the remaining time on, if that is earlier. For grace periods above 5.8 s nothing changes.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -365,7 +365,10 @@
         self._caller_policy.is_shutting_down = True
         until_stop_s = self._settings.stop_s - STOP_MARGIN_S - LAST_RESPONSE_MARGIN_S
         now_s = read_boot_time_s()
-        self._relay.stop_by(now_s + until_stop_s, now_s + ROTATION_EXIT_DELAY_S)
+        # Within a short grace period, requests are refused before the load balancer
+        # drops the router.
+        last_start_s = min(ROTATION_EXIT_DELAY_S, until_stop_s / 2)
+        self._relay.stop_by(now_s + until_stop_s, now_s + last_start_s)
         await asyncio.sleep(ROTATION_EXIT_DELAY_S)
         # The load balancer still sends new connections here if few machines of the zone
         # are left.
