Test that a request which waits until late in a stop is not sent

The relay fixture gets two parameters, the wait for a reservation and the time from which no request is begun; their defaults leave other tests as they were.

--- a/bilberryspring/request/tests/relay_fixtures.py
+++ b/bilberryspring/request/tests/relay_fixtures.py
@@ -196,11 +196,15 @@
     suspects=None,
     down=(),
     stop_in_s=None,
+    start_in_s=0.0,
+    wait_s=0.0,
     **request,
 ):
     """Relay one request; return its recorded answer and the backend calls.
 
     :param stop_in_s: time in seconds after which a router that stops ends all requests.
+    :param start_in_s: time in seconds from which it sends none that may last longer.
+    :param wait_s: time in seconds that the request waits for its reservation.
     """
     table = make_server_table()
     for server_id in servers:
@@ -214,7 +218,15 @@
     )
     if stop_in_s is not None:
         now_s = read_boot_time_s()
-        tested_relay.stop_by(now_s + stop_in_s, now_s)
+        tested_relay.stop_by(now_s + stop_in_s, now_s + start_in_s)
+    if wait_s:
+        acquire = dispatcher.acquire
+
+        async def wait_and_acquire(*arguments):
+            await asyncio.sleep(wait_s)
+            return await acquire(*arguments)
+
+        dispatcher.acquire = wait_and_acquire
     await tested_relay.relay(make_request(route, **request), SERVICE_POOL, answer)
     await asyncio.gather(*tested_relay._crash_checks)
     assert all(record.requests == 0 for record in table.records.values())
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -537,6 +537,22 @@
     assert answer.failure.outcome is Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE])
+async def test_request_that_waits_until_late_in_a_stop_is_not_sent(route):
+    answer, calls = await relay(
+        route, [[make_head(), b"x", None]], stop_in_s=1.5, start_in_s=0.1, wait_s=0.2
+    )
+    assert not calls.sent
+    assert answer.failure.kind is ErrorKind.LEAVING
+    assert answer.failure.outcome is Outcome.NOT_RUN
+
+
+async def test_repeatable_request_late_in_a_stop_is_served():
+    script = [make_head(), b"x", None]
+    answer, _ = await relay(REPEATABLE_ROUTE, [script], stop_in_s=1.5)
+    assert answer.is_finished
+
+
 async def test_stream_that_ends_before_a_stop_is_served():
     stream = [make_head(), b"id: 1\n\n", 0.3, b"id: 2\n\n", None]
     answer, _ = await relay(STREAM_ROUTE, [stream], stop_in_s=2.5)
