Let a refusal reach a caller that is still sending

A lower limit in a new configuration makes such refusals for callers that have not heard of it.

Cause: the connection closed right after the response; the bytes that arrived later were answered with a reset, and a caller that gets it while sending doesn't read the response.

Fix: after such a refusal the router closes its direction only and discards what arrives, until the caller closes or for 1 s.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -22,6 +22,8 @@
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 # Reading pauses while more requests than this are queued.
 MAX_PIPELINED_REQUESTS = 8
+# After a refusal, what a caller still sends is read and discarded for this long.
+DISCARD_TIME_S = 1.0
 _CHUNKED_HEADER = (b"Transfer-Encoding", b"chunked")
 
 
@@ -278,6 +280,8 @@
                     break
                 if not self._requests:
                     self._restart_timer()
+            if self._is_input_rejected:
+                await self._discard_input()
         except asyncio.CancelledError:
             if not self._is_disconnected:
                 raise
@@ -288,6 +292,15 @@
             if self._transport is not None and not self._transport.is_closing():
                 self._transport.close()
 
+    async def _discard_input(self) -> None:
+        """Give a caller that is still sending time to read its refusal.
+
+        Bytes that arrive after a close reset the connection, and the refusal is lost.
+        """
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+            await asyncio.sleep(DISCARD_TIME_S)
+
     async def _handle_or_fail(self, request: HttpRequest) -> None:
         """Handle a request; one whose handler raises still gets a response."""
         try:
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -369,3 +369,36 @@
     writer.close()
     assert [name for name, _ in events] == [event]
     assert events[0][1].items() >= {**field, "caller": caller}.items()
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending_its_body():
+    # Bytes that arrive after a close reset the connection and discard the refusal.
+    def send_large_body(port):
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            caller.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n"
+            )
+            for _ in range(50):
+                caller.sendall(b"x" * 100_000)
+            return caller.recv(1000)
+
+    async def refuse_large_body():
+        server = CallerServer()
+        _, writer = await server.start()
+        port = server.listener.sockets[0].getsockname()[1]
+        received = await asyncio.to_thread(send_large_body, port)
+        writer.close()
+        return received
+
+    assert uvloop.run(refuse_large_body()).startswith(b"HTTP/1.1 413")
+
+
+async def test_caller_that_never_stops_sending_after_a_refusal_is_cut():
+    server = CallerServer()
+    _, writer = await server.start()
+    writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n")
+    async with asyncio.timeout(3):
+        while not server.requests or server.connections:
+            writer.write(b"x")
+            await asyncio.sleep(0.01)
+    writer.close()
