--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -16,9 +16,9 @@
 
 __all__ = ["CallerConnection", "CallerGoneError", "HttpRequest"]
 
-# Writing pauses while more than this is buffered for a caller that reads too slowly.
 # During a shutdown, a new connection stays open this long for its first request.
 FIRST_REQUEST_GRACE_S = 0.5
+# Writing pauses while more than this is buffered for a caller that reads too slowly.
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 # Reading pauses while more requests than this are queued.
 MAX_PIPELINED_REQUESTS = 8
