Test that a server's keep-alive time is not announced to callers

It passes on the code before too: the header is dropped with the others that concern one connection. The router announces no time of its own, so none can be announced and then shortened.

--- a/bilberryspring/platform/tests/test_requests_beside_changes.py
+++ b/bilberryspring/platform/tests/test_requests_beside_changes.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from bilberryspring.connection.tests.stream_server import serve_streams
 from bilberryspring.platform.tests.platform_standin import CONFIGURATION
 from bilberryspring.platform.tests.test_front_router import deployment, send_request
 
@@ -125,6 +126,24 @@
     writer.close()
 
 
+async def test_keep_alive_time_of_a_server_is_not_announced_to_callers(deployment):
+    # It would hold for the caller's connection, whose limit another change may shorten.
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: seal\r\n"
+            b"Keep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nhi"
+        )
+
+    async with serve_streams(respond) as port, aiohttp.ClientSession() as session:
+        entry = deployment.server.make_entry(address=f"127.0.0.1:{port}")
+        await deployment.store.put("servers/s1", entry)
+        router = await deployment.add_router()
+        await router.wait_ready()
+        status, headers, _ = await send_request(session, router, "/orders/x")
+    assert status == 200 and "Keep-Alive" not in headers
+
+
 async def test_body_in_parts_outlasts_a_change_to_shorter_times(deployment):
     router = await deployment.add_router()
     await router.wait_ready()
