Refuse waiting requests at once when a stop makes their wait useless

Callers saw: a request that waited for capacity when its router got late into a stop was refused only once it had capacity or its time was over, although it could no longer be sent.

Cause: what may outlast a stop was checked on arrival and before the first send, not while the request waited.

Fix: the wait for the first reservation ends when it is too late to send, also for requests that waited already when the stop began.

Evidence: test_wait_for_capacity_ends_when_a_stop_makes_it_useless (plain and streamed) failed on the code before, refused after 1.0 s instead of 0.1 s; it passes, as do the other tests of the relay and of planned stops (155 passed).

--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -101,6 +101,7 @@
         self._stop_s = math.inf
         self._last_start_s = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
+        self._first_waits: dict[asyncio.Timeout, IncomingRequest] = {}
 
     def stop_by(self, stop_s: float, last_start_s: float) -> None:
         """End all requests, those in progress too, by a time.
@@ -116,6 +117,17 @@
         for timeout in self._timeouts:
             if not timeout.expired():
                 timeout.reschedule(min(timeout.when(), loop_stop_s))
+        for wait, request in self._first_waits.items():
+            if not wait.expired():
+                self._bound_first_wait(wait, request)
+
+    def _bound_first_wait(
+        self, wait: asyncio.Timeout, request: IncomingRequest
+    ) -> None:
+        """End a wait for the first reservation when it is too late to send."""
+        left_s = self._find_last_start_s(request) - read_boot_time_s()
+        if left_s < math.inf:
+            wait.reschedule(asyncio.get_running_loop().time() + left_s)
 
     async def relay(
         self, request: IncomingRequest, pool: PoolLimits, answer: CallerResponse
@@ -192,17 +204,24 @@
             await answer.refuse(outcome)
         return outcome
 
+    def _find_last_start_s(self, request: IncomingRequest) -> float:
+        """Return when it is too late to send a request, because of a stop.
+
+        A request that may not be repeated must not be left unanswered.
+        """
+        limit_s = min(request.deadline_s, request.received_s + request.route.timeout_s)
+        if request.route.rule is ExecutionRule.REPEATABLE or limit_s <= self._stop_s:
+            return math.inf
+        return self._last_start_s
+
     def _refuse_before_stop(self, request: IncomingRequest) -> Failure | None:
         """Refuse a request that the stop of this router could leave unanswered."""
-        now_s = read_boot_time_s()
-        limit_s = min(request.deadline_s, request.received_s + request.route.timeout_s)
-        if (
-            request.route.rule is ExecutionRule.REPEATABLE
-            or now_s < self._last_start_s
-            or limit_s <= self._stop_s
-        ):
+        if read_boot_time_s() < self._find_last_start_s(request):
             return None
-        reason = f"this router stops in {self._stop_s - now_s:.2f} s"
+        return self._make_stop_refusal()
+
+    def _make_stop_refusal(self) -> Failure:
+        reason = f"this router stops in {self._stop_s - read_boot_time_s():.2f} s"
         return make_failure(
             ErrorKind.LEAVING, reason, retry_after_s=LEAVING_RETRY_AFTER_S
         )
@@ -286,9 +305,7 @@
         refusal = self._suspects.find_refusal(progress.contents)
         if refusal is not None:
             return refusal
-        reservation = await self._dispatcher.acquire(
-            request, progress.pool, progress.must_end_s
-        )
+        reservation = await self._acquire(request, progress)
         if isinstance(reservation, Failure):
             return reservation
         # A crash may have become known while the request waited.
@@ -298,6 +315,24 @@
             return refusal
         return reservation
 
+    async def _acquire(
+        self, request: IncomingRequest, progress: ResponseProgress
+    ) -> Reservation | Failure:
+        """Wait for capacity, but before the first send no longer than a stop allows."""
+        acquire = self._dispatcher.acquire
+        if request.attempts > 0:
+            return await acquire(request, progress.pool, progress.must_end_s)
+        wait = asyncio.timeout(None)
+        try:
+            async with wait:
+                self._first_waits[wait] = request
+                self._bound_first_wait(wait, request)
+                return await acquire(request, progress.pool, progress.must_end_s)
+        except TimeoutError:
+            return self._make_stop_refusal()
+        finally:
+            self._first_waits.pop(wait, None)
+
     def _start_crash_check(
         self, progress: ResponseProgress, record: ServerRecord, failure: Failure
     ) -> asyncio.Task[None]:
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -547,6 +547,16 @@
     assert answer.failure.outcome is Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize("route", [ONCE_ROUTE, STREAM_ROUTE])
+async def test_wait_for_capacity_ends_when_a_stop_makes_it_useless(route):
+    started_s = read_boot_time_s()
+    answer, calls = await relay(
+        route, [[make_head(), b"x", None]], stop_in_s=1.5, start_in_s=0.1, wait_s=1.0
+    )
+    assert answer.failure.kind is ErrorKind.LEAVING and not calls.sent
+    assert answer.ended_s - started_s < 0.5
+
+
 async def test_repeatable_request_late_in_a_stop_is_served():
     script = [make_head(), b"x", None]
     answer, _ = await relay(REPEATABLE_ROUTE, [script], stop_in_s=1.5)
