--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -16,12 +16,14 @@
 
 __all__ = ["CallerConnection", "CallerGoneError", "HttpRequest"]
 
-# Writing pauses while more than this is buffered for a caller that reads too slowly.
 # During a shutdown, a new connection stays open this long for its first request.
 FIRST_REQUEST_GRACE_S = 0.5
+# Writing pauses while more than this is buffered for a caller that reads too slowly.
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 # Reading pauses while more requests than this are queued.
 MAX_PIPELINED_REQUESTS = 8
+# After a refusal, what a caller still sends is read and discarded for this long.
+DISCARD_TIME_S = 1.0
 _CHUNKED_HEADER = (b"Transfer-Encoding", b"chunked")
 
 
@@ -89,7 +91,9 @@
         self._must_close = False
         self._is_handling = False
         self._is_response_aborted = False
+        self._caller = ""
         self._opened_s = 0.0
+        self._wait_started_s = 0.0
         self._has_received = False
         self._reset_message()
 
@@ -100,6 +104,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._receive_started_s = 0.0
+        self._has_head = False
         self._error_status = 0
 
     # Callbacks of the asyncio transport.
@@ -107,11 +112,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task and the idle timeout of the connection."""
         self._transport = transport
+        # A caller that has already left has no name.
+        peer = transport.get_extra_info("peername")
+        self._caller = f"{peer[0]}:{peer[1]}" if peer else ""
         self._opened_s = asyncio.get_running_loop().time()
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
-        self._set_timer(self._policy.limits.idle_timeout_s)
+        self._restart_timer()
 
     def data_received(self, data: bytes) -> None:
         """Feed received bytes to the parser, and reject malformed input."""
@@ -120,7 +128,7 @@
             return
         if not self._receive_started_s:
             self._receive_started_s = read_boot_time_s()
-            self._set_timer(self._policy.limits.header_timeout_s)
+            self._restart_timer()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -137,6 +145,15 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
+        open_requests = len(self._requests) + self._is_handling
+        if open_requests and not self._must_close:
+            log_event(
+                "caller_disconnected",
+                caller=self._caller,
+                requests=open_requests,
+                is_begun=self._is_response_started,
+                error=str(exc or ""),
+            )
         self._is_disconnected = True
         self._write_ready.set()
         self._connections.discard(self)
@@ -178,7 +195,8 @@
 
     def on_headers_complete(self) -> None:
         """Check how the body is delimited, and reply to ``Expect: 100-continue``."""
-        self._set_timer(self._policy.limits.idle_timeout_s)
+        self._has_head = True
+        self._restart_timer()
         content_lengths = set(self._find_header_values(b"content-length"))
         transfer_codings = self._find_header_values(b"transfer-encoding")
         if (
@@ -231,6 +249,14 @@
 
     def _reject_input(self, status: int) -> None:
         self._is_input_rejected = True
+        log_event(
+            "request_unreadable",
+            level="WARNING",
+            status=status,
+            caller=self._caller,
+            has_head=self._has_head,
+            body_bytes=self._body_bytes,
+        )
         self._enqueue(HttpRequest("", b"", [], b"", read_boot_time_s(), status, True))
 
     # Task of the connection.
@@ -248,14 +274,14 @@
                 self._must_close = self._must_close or request.closes_connection
                 await self._handle_or_fail(request)
                 self._is_handling = False
-                if (
-                    self._must_close
-                    or self._policy.is_shutting_down
-                    and not self._requests
-                ):
+                # A response that began before a shutdown has not announced the close;
+                # the next request may be on its way.
+                if self._must_close:
                     break
-                if not self._requests and not self._receive_started_s:
-                    self._set_timer(self._policy.limits.idle_timeout_s)
+                if not self._requests:
+                    self._restart_timer()
+            if self._is_input_rejected:
+                await self._discard_input()
         except asyncio.CancelledError:
             if not self._is_disconnected:
                 raise
@@ -266,6 +292,15 @@
             if self._transport is not None and not self._transport.is_closing():
                 self._transport.close()
 
+    async def _discard_input(self) -> None:
+        """Give a caller that is still sending time to read its refusal.
+
+        Bytes that arrive after a close reset the connection, and the refusal is lost.
+        """
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+            await asyncio.sleep(DISCARD_TIME_S)
+
     async def _handle_or_fail(self, request: HttpRequest) -> None:
         """Handle a request; one whose handler raises still gets a response."""
         try:
@@ -287,24 +322,54 @@
         log_event(
             "requests_unanswered",
             level="WARNING",
+            caller=self._caller,
             requests=len(self._requests) + is_cut,
             is_begun=is_cut and self._is_response_started,
             is_shutting_down=self._policy.is_shutting_down,
         )
 
+    def _restart_timer(self) -> None:
+        self._wait_started_s = asyncio.get_running_loop().time()
+        self._set_timer(self._get_time_limit_s())
+
     def _set_timer(self, delay_s: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(delay_s, self._handle_timeout)
 
+    def _get_time_limit_s(self) -> float:
+        """Return how long the connection may wait for what it receives next."""
+        limits = self._policy.limits
+        is_reading_head = self._receive_started_s and not self._has_head
+        return limits.header_timeout_s if is_reading_head else limits.idle_timeout_s
+
     def _handle_timeout(self) -> None:
         if self._is_handling or self._requests:
             return
-        if self._receive_started_s:
+        waited_s = asyncio.get_running_loop().time() - self._wait_started_s
+        left_s = self._get_time_limit_s() - waited_s
+        if left_s > 0:
+            # The limit has grown. One that has shrunk holds from the next wait on:
+            # the caller may not know it yet.
+            self._set_timer(left_s)
+        elif self._receive_started_s:
             self._reject_input(408)
-        elif self._transport is not None:
-            self._transport.close()
+        else:
+            self._close_idle()
+
+    def _close_idle(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        idle_s = asyncio.get_running_loop().time() - self._wait_started_s
+        log_event(
+            "idle_caller_closed",
+            caller=self._caller,
+            idle_s=idle_s,
+            has_received=self._has_received,
+            is_shutting_down=self._policy.is_shutting_down,
+        )
+        self._transport.close()
 
     # Interface for request handlers.
 
@@ -336,7 +401,8 @@
         :param length_bytes: length of the body, ``None`` for chunked encoding.
         :raises CallerGoneError: if the caller closed the connection.
         """
-        if self._policy.is_shutting_down and not self._requests:
+        has_next = bool(self._requests or self._receive_started_s)
+        if self._policy.is_shutting_down and not has_next:
             self._must_close = True
         lines = [f"HTTP/1.1 {status} {reason}\r\n".encode("latin-1")]
         lines += [b"%b: %b\r\n" % field for field in headers]
@@ -384,12 +450,18 @@
 
         A caller that has just connected is given time to send its first request.
         """
-        now_s = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
         may_still_send = (
-            not self._has_received and now_s - self._opened_s < FIRST_REQUEST_GRACE_S
+            not self._has_received
+            and loop.time() - self._opened_s < FIRST_REQUEST_GRACE_S
         )
-        if not self.is_busy and not may_still_send and self._transport is not None:
-            self._transport.close()
+        if not self.is_busy and not may_still_send:
+            # Reads first what arrived while the event loop was held up.
+            loop.call_soon(self._close_unless_busy)
+
+    def _close_unless_busy(self) -> None:
+        if not self.is_busy:
+            self._close_idle()
 
     def _write(self, data: bytes) -> None:
         if self._is_disconnected or self._transport is None:
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from bilberryspring.capability.routing import CallerLimits
+from bilberryspring.connection import http_caller
 from bilberryspring.connection.caller_policy import CallerPolicy
 from bilberryspring.connection.http_caller import CallerConnection
 
@@ -35,12 +36,17 @@
         if request.error_status:
             connection.start_response(request.error_status, "Fault", [], 0)
             return
+        if request.target == b"/slow":
+            connection.start_response(200, "OK", [], None)
         if self.may_respond is not None:
             try:
                 await self.may_respond.wait()
             except asyncio.CancelledError:
                 self.cancelled_count += 1
                 raise
+        if request.target == b"/slow":
+            connection.finish()
+            return
         if request.target == b"/defect":
             raise ValueError("defect of the handler")
         if request.target == b"/broken":
@@ -239,3 +245,160 @@
             return await asyncio.to_thread(caller.recv, 1000)
 
     assert uvloop.run(send_in_a_pause()).startswith(b"HTTP/1.1 200")
+
+
+async def test_request_that_is_part_read_when_a_stop_ends_the_response_before_it():
+    server = CallerServer()
+    server.may_respond = asyncio.Event()
+    reader, writer = await server.start()
+    writer.write(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nh")
+    await asyncio.sleep(0.05)
+    server.policy.is_shutting_down = True
+    server.may_respond.set()
+    await asyncio.sleep(0.05)
+    for connection in list(server.connections):
+        connection.close_if_idle()
+    writer.write(b"i")
+    received = await read_until_closed(reader)
+    assert b"Connection: close" not in head
+    assert received.endswith(b"\r\n\r\nhi") and b"Connection: close" in received
+
+
+def receive_body(caller):
+    data = b""
+    while not data.endswith(b"hi") and (part := caller.recv(1000)):
+        data += part
+    return data
+
+
+def test_request_that_arrived_in_a_pause_of_the_router_is_read_before_a_stop_closes():
+    async def send_in_a_pause():
+        server = CallerServer()
+        await server.start()
+        port = server.listener.sockets[0].getsockname()[1]
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+            caller.sendall(request)
+            first = await asyncio.to_thread(receive_body, caller)
+            caller.sendall(request)
+            time.sleep(0.2)
+            server.policy.is_shutting_down = True
+            for connection in list(server.connections):
+                connection.close_if_idle()
+            return first, await asyncio.to_thread(receive_body, caller)
+
+    first, second = uvloop.run(send_in_a_pause())
+    assert first.endswith(b"hi") and second.endswith(b"hi")
+
+
+async def test_request_that_stalls_behind_a_long_response_is_timed_out():
+    server = CallerServer(make_policy(header_s=0.2, idle_s=0.3))
+    server.may_respond = asyncio.Event()
+    reader, writer = await server.start()
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHo")
+    await asyncio.sleep(0.5)
+    server.may_respond.set()
+    received = await read_until_closed(reader)
+    assert received.startswith(b"HTTP/1.1 200") and b"HTTP/1.1 408" in received
+
+
+@pytest.mark.parametrize(("former_s", "new_s"), [(0.3, 3.0), (3.0, 0.3)])
+async def test_caller_keeps_the_longer_idle_time_across_a_change(former_s, new_s):
+    # Callers reuse connections for as long as the longer of the two limits allows.
+    server = CallerServer(make_policy(idle_s=former_s))
+    reader, writer = await server.start()
+    request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+    writer.write(request)
+    await reader.readuntil(b"hi")
+    server.policy.limits = make_policy(idle_s=new_s).limits
+    await asyncio.sleep(0.6)
+    writer.write(request)
+    assert (await reader.readuntil(b"hi")).startswith(b"HTTP/1.1 200")
+
+
+async def end_idle(server, reader, writer):
+    await read_until_closed(reader)
+
+
+async def end_inside_a_body(server, reader, writer):
+    writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab")
+    await read_until_closed(reader)
+
+
+async def end_by_the_caller(server, reader, writer):
+    server.may_respond = asyncio.Event()
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    while not server.requests:
+        await asyncio.sleep(0.01)
+    writer.close()
+
+
+async def end_by_a_stop(server, reader, writer):
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    await reader.readuntil(b"\r\n\r\n")
+    server.policy.is_shutting_down = True
+    for connection in list(server.connections):
+        connection.close_if_idle()
+
+
+@pytest.mark.parametrize(
+    ("end", "event", "field"),
+    [
+        (end_idle, "idle_caller_closed", {"is_shutting_down": False}),
+        (end_inside_a_body, "request_unreadable", {"has_head": True, "body_bytes": 2}),
+        (end_by_the_caller, "caller_disconnected", {"requests": 1}),
+        (end_by_a_stop, "idle_caller_closed", {"is_shutting_down": True}),
+    ],
+)
+async def test_log_tells_how_a_connection_without_an_answer_ended(
+    monkeypatch, end, event, field
+):
+    events = []
+    monkeypatch.setattr(
+        http_caller, "log_event", lambda name, **fields: events.append((name, fields))
+    )
+    server = CallerServer()
+    reader, writer = await server.start()
+    caller = "{}:{}".format(*writer.get_extra_info("sockname"))
+    await end(server, reader, writer)
+    async with asyncio.timeout(3):
+        while server.connections:
+            await asyncio.sleep(0.01)
+    writer.close()
+    assert [name for name, _ in events] == [event]
+    assert events[0][1].items() >= {**field, "caller": caller}.items()
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending_its_body():
+    # Bytes that arrive after a close reset the connection and discard the refusal.
+    def send_large_body(port):
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            caller.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n"
+            )
+            for _ in range(50):
+                caller.sendall(b"x" * 100_000)
+            return caller.recv(1000)
+
+    async def refuse_large_body():
+        server = CallerServer()
+        _, writer = await server.start()
+        port = server.listener.sockets[0].getsockname()[1]
+        received = await asyncio.to_thread(send_large_body, port)
+        writer.close()
+        return received
+
+    assert uvloop.run(refuse_large_body()).startswith(b"HTTP/1.1 413")
+
+
+async def test_caller_that_never_stops_sending_after_a_refusal_is_cut():
+    server = CallerServer()
+    _, writer = await server.start()
+    writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n")
+    async with asyncio.timeout(3):
+        while not server.requests or server.connections:
+            writer.write(b"x")
+            await asyncio.sleep(0.01)
+    writer.close()
