Refuse any configuration and server entry that cannot be read

What callers saw: a router knew no server at all, or kept no watch of the configuration, for as long as an entry of 100,000 nested brackets stood.

Cause: each decoder named its own tuple of exceptions; RecursionError and OverflowError were in none of the two here. Other values passed and broke their users later: true as a version or as slots, NaN and negative time-outs, a prefix that is no string, a text in place of the list of keys (each letter became a key), "false" as public (true), port 0, a host with a scope that no call can encode, members that occur twice, lone surrogates.

Fix: malformed_input has the one tuple of exceptions for whatever others wrote, a strict JSON parser and checks of numbers; both decoders use them. Reasons are short and of ASCII characters. A refused configuration is logged when it changes, not with each full list.

The server stand-in states port 9 instead of 0 until it is started, since port 0 is no port of a server; no check changed.

--- a/bilberryspring/platform/configuration_watcher.py
+++ b/bilberryspring/platform/configuration_watcher.py
@@ -32,6 +32,7 @@
         self._store = store
         self._apply_table = apply_table
         self._version = -1
+        self._refusal = ""
         self.is_store_watcher: Callable[[], bool] = lambda: True
         self.entry: SnapshotEntry | None = None
 
@@ -64,8 +65,12 @@
             return
         table = decode_routing_table(item.value, item.position)
         if isinstance(table, Failure):
-            log_event("update_refused", level="ERROR", reason=table.reason)
+            # Each full list brings the same document again.
+            if table.reason != self._refusal:
+                log_event("update_refused", level="ERROR", reason=table.reason)
+            self._refusal = table.reason
             return
+        self._refusal = ""
         # The operator numbers versions, so their order does not depend on the history
         # of the store; a restored store may hold an older one.
         if table.version <= self._version:
--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -1,7 +1,7 @@
 """Decoders of the operator's configuration and of backend server entries."""
 
-import json
 from collections.abc import Mapping
+from typing import Any
 
 from bilberryspring.capability.routing import (
     BackendServer,
@@ -22,7 +22,14 @@
     RouteName,
     WorkspaceName,
 )
-from bilberryspring.process.addresses import split_address
+from bilberryspring.malformed_input import (
+    MALFORMED_ERRORS,
+    describe_error,
+    parse_json,
+    require_finite,
+    require_int,
+)
+from bilberryspring.process.addresses import is_unicast_ip, split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = ["decode_routing_table", "decode_server"]
@@ -35,6 +42,10 @@
 _READINESS_BY_STATE = {"ready": True, "draining": False}
 DEFAULT_ROUTE_TIMEOUT_MS = 30_000.0
 LEAST_URGENT_RANK = 9
+MAX_SERVER_ENTRY_BYTES = 64 * 1024
+MAX_SLOTS = 2**31 - 1
+# Larger integers have no exact floating-point number.
+MAX_INTEGER = 2**53
 
 
 def decode_routing_table(
@@ -47,80 +58,89 @@
     :returns: the routing table, or a failure if any part of the document is malformed.
     """
     try:
-        document = json.loads(value)
+        document = parse_json(value)
         limits = document.get("limits", {})
         tenants = document.get("tenants")
         return make_routing_table(
-            version=int(document["version"]),
+            version=_read_integer(document, "version"),
             position=position,
-            routes=[_decode_route(route) for route in document["routes"]],
-            pools=[_decode_pool(service) for service in document["services"]],
-            keys=None if not tenants else _decode_workspace_keys(tenants),
+            routes=[
+                _decode_route(route) for route in _require_list(document, "routes")
+            ],
+            pools=[
+                _decode_pool(service) for service in _require_list(document, "services")
+            ],
+            keys=_decode_workspace_keys(document) if tenants else None,
             limits=CallerLimits(
-                max_header_bytes=int(limits.get("maxHeaderBytes", 16_384)),
-                max_body_bytes=int(limits.get("maxBodyBytes", 4_194_304)),
-                header_timeout_s=float(limits.get("headerTimeoutMs", 10_000)) / 1000,
-                idle_timeout_s=float(limits.get("idleTimeoutMs", 60_000)) / 1000,
+                max_header_bytes=_read_integer(limits, "maxHeaderBytes", 16_384),
+                max_body_bytes=_read_integer(limits, "maxBodyBytes", 4_194_304),
+                header_timeout_s=_read_number(limits, "headerTimeoutMs", 10_000) / 1000,
+                idle_timeout_s=_read_number(limits, "idleTimeoutMs", 60_000) / 1000,
             ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        reason = f"malformed configuration: {error!r}"
+    except MALFORMED_ERRORS as error:
+        reason = f"malformed configuration: {describe_error(error)}"
         return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
 
 
 def _decode_route(route: Mapping) -> DirectRoute:
-    split = route.get("split")
-    if split:
+    if route.get("split"):
         pools = tuple(
-            (PoolName(target["service"]), float(target["weight"])) for target in split
+            (PoolName(_require_text(target, "service")), _read_number(target, "weight"))
+            for target in _require_list(route, "split")
         )
     else:
-        pools = ((PoolName(route["service"]), 1.0),)
-    timeout_ms = float(route.get("timeoutMs") or DEFAULT_ROUTE_TIMEOUT_MS)
+        pools = ((PoolName(_require_text(route, "service")), 1.0),)
+    timeout_ms = _read_number(route, "timeoutMs", 0) or DEFAULT_ROUTE_TIMEOUT_MS
     return DirectRoute(
-        name=RouteName(route["name"]),
-        host=route["host"],
-        path_prefix=route["prefix"],
+        name=RouteName(_require_string(route, "name")),
+        host=_require_string(route, "host"),
+        path_prefix=_require_string(route, "prefix"),
         rule=_EXECUTION_RULES[route["kind"]],
         pools=pools,
-        max_servers=max(1, int(route.get("attempts", 1))),
+        max_servers=max(1, _read_integer(route, "attempts", 1)),
         timeout_s=timeout_ms / 1000,
-        target_s=float(route.get("goalMs") or timeout_ms) / 1000,
-        pause_target_s=float(route.get("gapGoalMs") or 0) / 1000,
-        rank_order=_clamp_rank(route.get("priority", LEAST_URGENT_RANK)),
-        is_public=bool(route.get("public", False)),
-        is_resumable=bool(route.get("resumable", False)),
+        target_s=(_read_number(route, "goalMs", 0) or timeout_ms) / 1000,
+        pause_target_s=_read_number(route, "gapGoalMs", 0) / 1000,
+        rank_order=_clamp_rank(_read_integer(route, "priority", LEAST_URGENT_RANK)),
+        is_public=_read_flag(route, "public"),
+        is_resumable=_read_flag(route, "resumable"),
     )
 
 
-def _clamp_rank(priority: object) -> int:
-    return min(max(int(priority), 0), LEAST_URGENT_RANK)
+def _clamp_rank(priority: int) -> int:
+    return min(max(priority, 0), LEAST_URGENT_RANK)
 
 
 def _decode_pool(service: Mapping) -> PoolLimits:
     engine = service.get("engine")
     return PoolLimits(
-        name=PoolName(service["name"]),
-        max_connections=int(service.get("maxConns") or 100),
+        name=PoolName(_require_string(service, "name")),
+        max_connections=_read_integer(service, "maxConns", 0) or 100,
         engine=None
         if not engine
         else EngineLimits(
-            slots=int(engine["slots"]),
-            cache_tokens=int(engine["kvTokens"]),
+            slots=_read_integer(engine, "slots"),
+            cache_tokens=_read_integer(engine, "kvTokens"),
             # Number of tokens in one event of a stream.
-            chunk_tokens=max(1, int(engine.get("stride", 1))),
-            can_fetch=bool(engine.get("moves", False)),
+            chunk_tokens=max(1, _read_integer(engine, "stride", 1)),
+            can_fetch=_read_flag(engine, "moves"),
         ),
     )
 
 
-def _decode_workspace_keys(tenants: list[Mapping]) -> dict[str, WorkspaceKey]:
+def _decode_workspace_keys(document: Mapping) -> dict[str, WorkspaceKey]:
     keys = {}
-    for tenant in tenants:
+    for tenant in _require_list(document, "tenants"):
         priority = tenant.get("priority")
-        rank = None if priority is None else _clamp_rank(priority)
-        for key in tenant.get("apiKeys", ()):
-            keys[key] = WorkspaceKey(WorkspaceName(tenant["name"]), rank)
+        rank = None
+        if priority is not None:
+            rank = _clamp_rank(_read_integer(tenant, "priority"))
+        workspace = WorkspaceName(_require_string(tenant, "name"))
+        for key in _require_list(tenant, "apiKeys") if "apiKeys" in tenant else ():
+            if not isinstance(key, str):
+                raise ValueError("a key is not a string")
+            keys[key] = WorkspaceKey(workspace, rank)
     return keys
 
 
@@ -134,33 +154,84 @@
     :returns: the server, or a failure if the entry is malformed.
     """
     try:
-        entry = json.loads(value)
-        host, port = split_address(entry["address"])
-        started_at_ms = entry.get("born", 0)
+        # An id that cannot be encoded has no hash.
+        server_id.encode()
+        entry = parse_json(value, MAX_SERVER_ENTRY_BYTES)
+        host, port = split_address(_require_text(entry, "address"))
+        if not port or not is_unicast_ip(host):
+            raise ValueError("address must be an IP address and a port")
         return BackendServer(
             server_id=InstanceId(server_id),
             pool=PoolName(_require_text(entry, "service")),
             host=host,
             port=port,
             availability_zone=AvailabilityZone(_require_text(entry, "zone")),
-            slots=_require_count(entry, "slots"),
+            slots=require_int(entry["slots"], "slots", 1, MAX_SLOTS),
             is_ready=_READINESS_BY_STATE[entry["state"]],
-            started_at_ms=started_at_ms if isinstance(started_at_ms, int) else 0,
+            started_at_ms=_read_start_time(entry),
+        )
+    except MALFORMED_ERRORS as error:
+        reason = (
+            f"malformed entry of server {ascii(server_id)}: {describe_error(error)}"
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        reason = f"malformed entry of server {server_id}: {error!r}"
         return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
 
 
-def _require_text(entry: Mapping, name: str) -> str:
-    value = entry[name]
-    if not isinstance(value, str) or not value:
+def _read_start_time(entry: Mapping) -> int:
+    """Return the time of a server's start; zero if the entry states no sound one."""
+    try:
+        return require_int(entry.get("born"), "born", 0, MAX_INTEGER)
+    except ValueError:
+        return 0
+
+
+def _require_string(document: Mapping, name: str) -> str:
+    value = document[name]
+    if not isinstance(value, str):
+        raise ValueError(f"{name} must be a string")
+    return value
+
+
+def _require_text(document: Mapping, name: str) -> str:
+    value = _require_string(document, name)
+    if not value:
         raise ValueError(f"{name} must be a string that is not empty")
     return value
 
 
-def _require_count(entry: Mapping, name: str) -> int:
-    value = entry[name]
-    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
-        raise ValueError(f"{name} must be an integer above zero")
+def _require_list(document: Mapping, name: str) -> list[Any]:
+    value = document[name]
+    if not isinstance(value, list):
+        raise ValueError(f"{name} must be a list")
+    return value
+
+
+def _read_number(document: Mapping, name: str, default: float | None = None) -> float:
+    """Return a number that is not negative.
+
+    :param default: number that a missing field or null stands for; ``None`` if the
+        field is required.
+    """
+    value = document.get(name)
+    return require_finite(default if value is None else value, name, lowest=0)
+
+
+def _read_integer(document: Mapping, name: str, default: int | None = None) -> int:
+    """Return an integer that is not negative; see :func:`_read_number`.
+
+    Some encoders write integers as numbers with a fraction of zero.
+    """
+    value = document.get(name)
+    value = default if value is None else value
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    return require_int(value, name, 0, MAX_INTEGER)
+
+
+def _read_flag(document: Mapping, name: str) -> bool:
+    value = document.get(name)
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} must be true or false")
     return value
--- a/bilberryspring/platform/tests/platform_standin.py
+++ b/bilberryspring/platform/tests/platform_standin.py
@@ -265,7 +265,7 @@
         self.delay_s = delay_s
         self.executed = []
         self._runner = None
-        self.port = 0
+        self.port = 9  # until it is started
 
     async def start(self):
         app = web.Application(client_max_size=10_000_000)
--- a/bilberryspring/process/addresses.py
+++ b/bilberryspring/process/addresses.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 
-__all__ = ["split_address"]
+__all__ = ["is_unicast_ip", "split_address"]
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -16,7 +16,22 @@
     ('127.0.0.1', 8080)
     """
     host, separator, port = address.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > 65535:
+    if not separator or not port.isdecimal() or int(port) > 65535:
         raise ValueError("expected an IP address and a port, such as 127.0.0.1:8080")
     ipaddress.ip_address(host.strip("[]"))
     return host.strip("[]"), int(port)
+
+
+def is_unicast_ip(text: str) -> bool:
+    """Return whether a text is an IP address that one host may have.
+
+    :param text: an address, without a port and without a scope.
+
+    >>> is_unicast_ip("127.0.0.1"), is_unicast_ip("example.com")
+    (True, False)
+    """
+    try:
+        address = ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return "%" not in text and not address.is_multicast and not address.is_unspecified
