--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -74,6 +74,8 @@
         self._resumed_s = 0.0
         self.store_epoch: StoreEpoch | None = None
         self.entries: dict[InstanceId, SnapshotEntry] = {}
+        # Why the entries of servers that are not listed could not be read.
+        self._refusals: dict[InstanceId, str] = {}
 
     def set_drain_grace(self, drain_grace_s: float) -> None:
         """Set the grace period of servers that have left.
@@ -220,7 +222,7 @@
         for server_id in [
             known_id for known_id in self.entries if known_id not in listed_ids
         ]:
-            del self.entries[server_id]
+            self._forget_entry(server_id)
         for server_id in [
             known_id for known_id in self._servers.records if known_id not in listed_ids
         ]:
@@ -230,19 +232,41 @@
     def _apply_change(self, item: StoreItem) -> None:
         server_id = _parse_server_id(item.key)
         if item.value is None:
-            self.entries.pop(server_id, None)
+            self._forget_entry(server_id)
             self._handle_missing_entry(server_id)
         else:
-            self.entries[server_id] = SnapshotEntry(item.key, item.value, item.position)
             server = decode_server(server_id, item.value)
             self._removal_deadlines_s.pop(server_id, None)
             if isinstance(server, Failure):
-                log_event("update_refused", level="WARNING", reason=server.reason)
-                self._servers.remove(server_id, server.reason)
+                self._refuse_entry(server_id, item, server.reason)
             else:
+                self._refusals.pop(server_id, None)
+                self.entries[server_id] = SnapshotEntry(
+                    item.key, item.value, item.position
+                )
                 self._servers.put(server)
         self._on_change()
 
+    def _refuse_entry(
+        self, server_id: InstanceId, item: StoreItem, reason: str
+    ) -> None:
+        """Remove the server of an entry that cannot be read.
+
+        Snapshots hold an empty value in its place, which any router refuses: the
+        server is then neither listed nor missing there.
+        """
+        self.entries[server_id] = SnapshotEntry(item.key, b"", item.position)
+        is_reported = self._refusals.get(server_id) == reason
+        # An entry that another router could not read arrives here without its value.
+        if not is_reported and (item.value or server_id not in self._refusals):
+            log_event("update_refused", level="WARNING", reason=reason)
+            self._refusals[server_id] = reason
+        self._servers.remove(server_id, reason)
+
+    def _forget_entry(self, server_id: InstanceId) -> None:
+        self.entries.pop(server_id, None)
+        self._refusals.pop(server_id, None)
+
     def _handle_missing_entry(self, server_id: InstanceId) -> None:
         last_listed_s = max(self._previous_confirmed_s, self._store_recovered_s)
         deadline_s = min(
