Decode each item of the store's responses by itself

One item whose value is not base64, or whose revision is out of range, made the whole list or watch a failure, repeated for as long as it stood; a response of 100,000 nested brackets ended the follower (RecursionError).

A response in which an item has no key is malformed as before, or a list would look as if the item had been removed (test_malformed_response_is_a_failure_and_not_an_empty_list).

Tests: the odd items and the nested response failed before and pass now.

--- a/bilberryspring/platform/metadata_messages.py
+++ b/bilberryspring/platform/metadata_messages.py
@@ -1,7 +1,6 @@
 """Values of the platform's metadata store and decoders of its responses."""
 
 import base64
-import binascii
 import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -10,6 +9,11 @@
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.http_backend import ResponseHead
 from bilberryspring.identifiers import StoreEpoch
+from bilberryspring.malformed_input import (
+    MALFORMED_ERRORS,
+    describe_error,
+    require_int,
+)
 from bilberryspring.platform.wire_names import STORE_EPOCH
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
@@ -164,8 +168,9 @@
         return StoreResponse(status, {}, epoch)
     try:
         body = json.loads(content) if content else {}
-    except ValueError as error:
-        return make_store_failure(f"the store's response is not JSON: {error}")
+    except MALFORMED_ERRORS as error:
+        reason = f"the store's response is not JSON: {describe_error(error)}"
+        return make_store_failure(reason)
     if not isinstance(body, dict):
         return make_store_failure("the store's response is not a JSON object")
     return StoreResponse(status, body, epoch)
@@ -183,8 +188,9 @@
         return make_store_failure(f"the store responded with status {response.status}")
     try:
         return decode(response.body)
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        return make_store_failure(f"malformed response of the store: {error!r}")
+    except MALFORMED_ERRORS as error:
+        reason = f"malformed response of the store: {describe_error(error)}"
+        return make_store_failure(reason)
 
 
 def parse_int(body: Mapping, name: str) -> int:
@@ -192,13 +198,10 @@
 
     :param body: JSON document.
     :param name: name of the field.
-    :raises ValueError: if the value is not an integer.
+    :raises ValueError: if the value is not an integer of 64 bits.
     :raises KeyError: if the field is missing.
     """
-    value = body[name]
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{name} is not an integer")
-    return value
+    return require_int(body[name], name, -(2**63), 2**63 - 1)
 
 
 def decode_item(body: Mapping, epoch: StoreEpoch) -> StoreItem:
@@ -208,26 +211,64 @@
     :param epoch: history of the store that the document belongs to.
     :raises ValueError: if a field has a wrong type or value.
     """
-    key = body["key"]
+    key = _decode_key(body)
     position = StorePosition(epoch, parse_int(body, "revision"))
-    if not isinstance(key, str):
-        raise ValueError("a key is not a string")
     if body.get("tombstone"):
         return StoreItem(key, None, position)
     return StoreItem(key, base64.b64decode(body["value"], validate=True), position)
 
 
+def _decode_key(body: Mapping) -> str:
+    key = body["key"]
+    if not isinstance(key, str):
+        raise ValueError("a key is not a string")
+    return key
+
+
+def _decode_items(bodies: object, position: StorePosition) -> tuple[StoreItem, ...]:
+    """Decode each item by itself, so that a malformed one does not hide the others.
+
+    An item of which only the key is readable has an empty value, which no reader
+    accepts. One whose key cannot be encoded is left out.
+
+    :param bodies: JSON documents of items or events.
+    :param position: position of an item that does not state its own.
+    :raises ValueError: if an item has no key. Without it, a list that lacks the item
+        would look as if the item had been removed.
+    """
+    if not isinstance(bodies, list):
+        raise ValueError("the items are not a list")
+    items = []
+    for body in bodies:
+        key = _decode_key(body)
+        if not _is_encodable(key):
+            continue
+        try:
+            items.append(decode_item(body, position.epoch))
+        except MALFORMED_ERRORS:
+            items.append(StoreItem(key, b"", position))
+    return tuple(items)
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def decode_page(
     body: Mapping, epoch: StoreEpoch
-) -> tuple[list[StoreItem], StorePosition, bool]:
+) -> tuple[tuple[StoreItem, ...], StorePosition, bool]:
     """Decode one page of a list.
 
     :param body: JSON document of the page.
     :param epoch: history of the store that the page belongs to.
     :returns: items, position of the store, and whether another page follows.
     """
-    items = [decode_item(item, epoch) for item in body["items"]]
     position = StorePosition(epoch, parse_int(body, "currentRev"))
+    items = _decode_items(body["items"], position)
     return items, position, bool(body.get("truncated"))
 
 
@@ -237,7 +278,7 @@
     :param body: JSON document of the response, which is of the history of ``since``.
     :param since: position after which changes were requested.
     """
-    items = tuple(decode_item(event, since.epoch) for event in body["events"])
     # A response without events may have a revision older than the requested one.
     revision = max(parse_int(body, "currentRev"), since.revision)
-    return StoreChanges(items, StorePosition(since.epoch, revision))
+    position = StorePosition(since.epoch, revision)
+    return StoreChanges(_decode_items(body["events"], position), position)
