Send reports only to addresses that a router may have

Any text under routers/ reached DatagramTransport.sendto. For one that cannot be encoded as a host name ("\ufffd", "::1%\ufffd", a null character), sendto raises UnicodeError or ValueError, on which asyncio closes the transport: the router sends no report of its loads, and receives none, until it is restarted. A host name is resolved within the event loop.

Fix: addresses that are no IP address, have a scope, or are multicast or unspecified are left out, and named in one line when the set of them changes.

--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -26,6 +26,7 @@
     encode_report,
 )
 from bilberryspring.identifiers import InstanceId, StoreEpoch
+from bilberryspring.process.addresses import is_unicast_ip
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_snapshots import fetch_snapshot, serve_snapshots
 from bilberryspring.process.server_table import (
@@ -62,6 +63,7 @@
 MIN_SNAPSHOT_INTERVAL_S = 0.5
 # Routers that watch the server list in the store; the others get it from them.
 WATCHER_COUNT = 2
+MAX_LOGGED_CHARACTERS = 80
 
 
 @dataclass(slots=True)
@@ -162,6 +164,7 @@
         self._fanout = MAX_FANOUT
         self._peer_views: dict[str, PeerView] = {}
         self._address_added_s: dict[str, float] = {}
+        self._refused_addresses: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
         self._snapshot_server: asyncio.Server | None = None
         self._snapshot_requested_s = 0.0
@@ -200,8 +203,14 @@
             ``PEER_TIMEOUT_S`` unless a router there sends reports.
         """
         now_s = self._read_clock()
+        refused = {ip for ip in ips if not is_unicast_ip(ip)}
+        if refused - self._refused_addresses:
+            first = min(refused - self._refused_addresses)[:MAX_LOGGED_CHARACTERS]
+            reason = f"{len(refused)} addresses of routers, such as {ascii(first)}"
+            log_event("update_refused", level="WARNING", reason=reason)
+        self._refused_addresses = refused
         for ip in ips:
-            if ip != self._ip:
+            if ip != self._ip and ip not in refused:
                 self._address_added_s[ip] = now_s
 
     def count_routers(self) -> int:
