Back off from a task that fails at each start and log where

What callers saw: FrontRouter._run_with_restarts started a watcher every 0.5 s into the input that ended it, with a line each time that named neither the task nor the place. ConfigurationFollower had the same loop.

Fix: run_with_restarts, one function for both, logs the task, the place and the number of failures, and doubles the pause up to 4 s while the task ends within 10 s of its start. Both log task_failed, so follower_failed is no event any more. Each task has its own loop, so one that fails delays no other. Errors are logged with at most 200 characters of their text, since they may quote the input.

Tests: test_task_restarts on a virtual clock; pauses of 0.5, 1, 2, 4 and 4 s, and of 0.5 s again after a run of 11 s. The former loop paused 0.5 s each time, by reading.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -40,6 +40,7 @@
 from bilberryspring.process.router_metrics import make_router_metrics
 from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
+from bilberryspring.process.task_restarts import run_with_restarts
 from bilberryspring.request.dispatcher import make_dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
@@ -215,15 +216,7 @@
             self._run_maintenance,
             self._update_metrics,
         ):
-            self._tasks.append(loop.create_task(self._run_with_restarts(run_task)))
-
-    async def _run_with_restarts(self, run_task) -> None:
-        while True:
-            try:
-                return await run_task()
-            except Exception as error:
-                log_event("task_failed", level="ERROR", error=repr(error))
-                await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            self._tasks.append(loop.create_task(run_with_restarts(run_task)))
 
     async def _update_metrics(self) -> None:
         await asyncio.sleep(METRICS_START_DELAY_S)
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -78,7 +78,6 @@
     "announcement_refused": Event(_STATE, "an announced version could not be decoded"),
     "update_refused": Event(_STATE, "a configuration or server entry was invalid"),
     "watch_failed": Event(_STATE, "an exception in the configuration watch"),
-    "follower_failed": Event(_STATE, "an exception in configuration following"),
     "configuration_task_failed": Event(_STATE, "an exception in announcing a version"),
     # Claims
     "claim_refused": Event(_FAILED, "a claim failed at the key-value service"),
--- a/bilberryspring/version/dissemination.py
+++ b/bilberryspring/version/dissemination.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import replace
 from typing import Any
 
@@ -26,6 +26,7 @@
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.membership import Members
 from bilberryspring.process.settings import ProcessSettings
+from bilberryspring.process.task_restarts import run_with_restarts
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.version.head_watcher import make_head_watcher
 from bilberryspring.version.holder import ConfigurationHolder
@@ -102,7 +103,7 @@
             self._compare_versions,
             self._watcher.run,
         ):
-            self._start_task(self._run_with_restarts(run))
+            self._start_task(run_with_restarts(run, REPAIR_INTERVAL_S))
         await self.holder.wait_for(1, START_TIMEOUT_S)
 
     async def close(self) -> None:
@@ -323,15 +324,6 @@
             return None
         return result
 
-    async def _run_with_restarts(self, run: Callable[[], Awaitable[None]]) -> None:
-        """Restart a loop after an unexpected exception, so the node keeps following."""
-        while True:
-            try:
-                await run()
-            except Exception as error:
-                log_event("follower_failed", level="ERROR", error=repr(error))
-            await asyncio.sleep(REPAIR_INTERVAL_S)
-
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(measure_control_cpu(self._ledger, coroutine))
         self._tasks.add(task)
