Decode whatever others wrote with one tuple of exceptions

Engines' replies, orders, node states, administration replies and the settings file of 100,000 nested brackets raised RecursionError where they are decoded: the probe of an engine would end with it, and an agent would give its callers an internal error for a malformed last event. In the settings file, a number of 10,000 digits raised while it was parsed and one of 400 digits when it was converted; an infinite one passed.

Cause: ten tuples of exceptions in as many modules, of which only MALFORMED_ERRORS in platform/reply_errors and DECODE_ERRORS in version/decode_errors named most.

The decoders of node states, orders and streams' states are functions of their own; the last event of an answer is read by read_event and read_choice. join_event_text still raises: a fingerprint of a part of the text would look like a new version.

--- a/bilberryspring/connection/cache_directory_messages.py
+++ b/bilberryspring/connection/cache_directory_messages.py
@@ -6,6 +6,7 @@
 import capnp
 
 from bilberryspring.identifiers import ChatKey, EngineVersion, InstanceId
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = ["CacheLocation", "encode_location", "decode_location"]
@@ -79,6 +80,6 @@
             root.tokens,
             EngineVersion(root.engineVersion),
         )
-    except (capnp.KjException, ValueError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         reason = f"malformed location: {str(error).splitlines()[0]}"
         return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
--- a/bilberryspring/connection/claim_messages.py
+++ b/bilberryspring/connection/claim_messages.py
@@ -25,6 +25,7 @@
     mod_revision_is,
     value_is,
 )
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -102,7 +103,7 @@
         if not message.key:
             raise ValueError("the key is empty")
         return _read_transaction(message, prefix + message.key, MAX_NESTING_DEPTH)
-    except (capnp.KjException, ValueError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         reason = f"malformed transaction: {str(error).splitlines()[0]}"
         return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
 
@@ -165,6 +166,6 @@
         found = KeyValue("", bytes(message.value), 0, message.revision, 0)
         items = (found,) if message.found else ()
         return TransactionResult(False, (KeyRange(items, 0),), 0)
-    except (capnp.KjException, ValueError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         reason = f"malformed result: {str(error).splitlines()[0]}"
         return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
--- a/bilberryspring/connection/frames.py
+++ b/bilberryspring/connection/frames.py
@@ -14,6 +14,7 @@
 
 from bilberryspring.connection import messages
 from bilberryspring.connection.messages import Message
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -108,8 +109,8 @@
             payload, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ) as root:
             return _read_message(root)
-    except (capnp.KjException, ValueError, TypeError, UnicodeDecodeError) as error:
-        reason = f"malformed frame: {str(error).splitlines()[0]}"
+    except MALFORMED_ERRORS as error:
+        reason = f"malformed frame: {describe_error(error)}"
         return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
 
 
--- a/bilberryspring/connection/instance_list_messages.py
+++ b/bilberryspring/connection/instance_list_messages.py
@@ -13,6 +13,7 @@
     Role,
 )
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName, Region
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -115,7 +116,7 @@
             tuple(_read_instance(entry) for entry in root.changed),
             tuple(InstanceId(name) for name in root.removed),
         )
-    except (capnp.KjException, ValueError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         reason = f"malformed list state: {(str(error) or 'unreadable').splitlines()[0]}"
         return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
 
--- a/bilberryspring/connection/load_messages.py
+++ b/bilberryspring/connection/load_messages.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from bilberryspring.identifiers import ConfigVersion
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -152,6 +153,6 @@
             ),
             tuple(root.suspects),
         )
-    except (capnp.KjException, ValueError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         reason = f"malformed load message: {str(error).splitlines()[0]}"
         return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -13,6 +13,7 @@
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.load_messages import NameHash
 from bilberryspring.identifiers import InstanceId, StoreEpoch
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -283,7 +284,7 @@
             ),
             store_epoch=_decode_epoch(message.nextStoreEpoch),
         )
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+    except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
 
 
@@ -348,5 +349,5 @@
                 message.serversAgeMs / 1000,
                 _decode_epoch(message.nextStoreEpoch),
             )
-    except (zlib.error, capnp.KjException, ValueError) as error:
+    except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed snapshot: {error}")
--- a/bilberryspring/platform/instances.py
+++ b/bilberryspring/platform/instances.py
@@ -19,9 +19,7 @@
 )
 from bilberryspring.connection.http_bodies import read_body
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName, Region
-from bilberryspring.platform.reply_errors import (
-    MALFORMED_ERRORS,
-)
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.process.accounting import ControlMechanism, Ledger
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
@@ -116,12 +114,7 @@
                 if isinstance(parsed, Failure):
                     return parsed
                 return replace(parsed, entity_tag=response.headers.get("ETag", ""))
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            ValueError,
-            RecursionError,
-        ) as error:
+        except (TimeoutError, aiohttp.ClientError, *MALFORMED_ERRORS) as error:
             return _make_unavailable(f"{type(error).__name__}: {error}")
 
 
--- a/bilberryspring/platform/keyvalue.py
+++ b/bilberryspring/platform/keyvalue.py
@@ -24,6 +24,7 @@
     WatchEvent,
     WatchReset,
 )
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.platform.keyvalue_gateway import (
     Gateway,
     make_unavailable,
@@ -38,9 +39,6 @@
     encode_watch,
     parse_revision,
 )
-from bilberryspring.platform.reply_errors import (
-    MALFORMED_ERRORS,
-)
 from bilberryspring.process.accounting import ControlMechanism, Ledger
 from bilberryspring.request.errors import Failure, Outcome
 
--- a/bilberryspring/platform/keyvalue_gateway.py
+++ b/bilberryspring/platform/keyvalue_gateway.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.platform.keyvalue_messages import (
     JsonObject,
 )
@@ -234,7 +235,7 @@
         return make_unavailable(f"status {status}: {text}", outcome)
     try:
         reply = json.loads(raw)
-    except (ValueError, RecursionError):
+    except MALFORMED_ERRORS:
         return make_unavailable("the reply is not JSON", Outcome.UNKNOWN)
     if not isinstance(reply, dict):
         return make_unavailable("the reply is not a JSON object", Outcome.UNKNOWN)
@@ -248,7 +249,7 @@
     """
     try:
         message = json.loads(line)["result"]
-    except (KeyError, TypeError, RecursionError) as error:
+    except MALFORMED_ERRORS as error:
         raise ValueError(f"malformed message: {type(error).__name__}") from error
     if not isinstance(message, dict):
         raise ValueError("malformed message: expected a JSON object")
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -1,5 +1,6 @@
 """Settings of a router process, read from the platform's settings file."""
 
+import math
 import os
 import tomllib
 from collections.abc import Callable, Mapping
@@ -7,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
@@ -85,7 +87,7 @@
             return default
         try:
             return check(value)
-        except ValueError as error:
+        except MALFORMED_ERRORS as error:
             self.errors.append(f"{path}: {error}")
             return default
 
@@ -104,7 +106,10 @@
 def _check_positive(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
         raise ValueError("must be a number above zero")
-    return float(value)
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError("must be finite")
+    return number
 
 
 def _check_not_negative(value: Any) -> float:
@@ -140,8 +145,9 @@
         return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
     try:
         content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        return make_failure(ErrorKind.CONFIGURATION_INVALID, f"{path}: {error}")
+    except (OSError, *MALFORMED_ERRORS) as error:
+        reason = f"{path}: {describe_error(error)}"
+        return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
     reader = _SettingsReader(content)
     read = reader.read
     fields = {
--- a/bilberryspring/process/administration.py
+++ b/bilberryspring/process/administration.py
@@ -16,6 +16,7 @@
 from sanic.response import raw
 
 from bilberryspring.identifiers import InstanceId
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.process.health import add_health_routes
 from bilberryspring.process.http_server import make_application
 from bilberryspring.process.logs import log_event
@@ -293,7 +294,7 @@
 ) -> HTTPResponse:
     try:
         document = json.loads(request.body)
-    except (ValueError, RecursionError):
+    except MALFORMED_ERRORS:
         document = None
     order = parse_order(document, request.ctx.operator)
     if isinstance(order, Failure):
@@ -325,7 +326,7 @@
             str(name).lower(): str(value)
             for name, value in payload.get("headers", {}).items()
         }
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+    except MALFORMED_ERRORS:
         reason = (
             "expected a JSON object with the fields workspace, chat and, optionally, "
             "headers"
--- a/bilberryspring/process/administration_client.py
+++ b/bilberryspring/process/administration_client.py
@@ -9,6 +9,7 @@
 import aiohttp
 from pydantic import BaseModel, ConfigDict, Field
 
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.process.settings import Address
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 
@@ -192,7 +193,7 @@
 def _parse_json_object(content: bytes) -> dict[str, Any]:
     try:
         document = json.loads(content)
-    except ValueError:
+    except MALFORMED_ERRORS:
         return {}
     return document if isinstance(document, dict) else {}
 
--- a/bilberryspring/process/backend_watch.py
+++ b/bilberryspring/process/backend_watch.py
@@ -15,6 +15,7 @@
 
 from bilberryspring.connection.http_bodies import read_body
 from bilberryspring.identifiers import EngineVersion, digest_content
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.process.accounting import ControlMechanism, Ledger
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.settings import split_address
@@ -181,9 +182,10 @@
             return make_failure(ErrorKind.BACKEND_UNREACHABLE, repr(error))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return make_failure(ErrorKind.BACKEND_FAILED, repr(error))
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED_ERRORS as error:
             return make_failure(
-                ErrorKind.BACKEND_FAILED, f"malformed version response: {error!r}"
+                ErrorKind.BACKEND_FAILED,
+                f"malformed version response: {describe_error(error)}",
             )
 
     async def _update_fingerprint(self) -> None:
@@ -274,10 +276,10 @@
         )
     try:
         return join_event_text(events[:-1])
-    except (ValueError, AttributeError, IndexError) as error:
+    except MALFORMED_ERRORS as error:
         return make_failure(
             ErrorKind.BACKEND_FAILED,
-            f"malformed response to the fingerprint prompt: {error!r}",
+            f"malformed response to the fingerprint prompt: {describe_error(error)}",
         )
 
 
--- a/bilberryspring/process/caller_api.py
+++ b/bilberryspring/process/caller_api.py
@@ -30,7 +30,7 @@
     make_failure,
     make_problem,
 )
-from bilberryspring.request.event_text import join_event_text
+from bilberryspring.request.event_text import join_event_text, read_choice, read_event
 from bilberryspring.request.forwarding_state import ForwardingState
 from bilberryspring.request.headers import unpack_headers
 from bilberryspring.request.request_forwarding import forward_request
@@ -243,8 +243,7 @@
     result = await _forward(process, forwarding, sink)
     if isinstance(result, Failure):
         return make_problem_response(result, open_message.request_id)
-    last_chunk = json.loads(forwarding.chunks[-1]) if forwarding.chunks else {}
-    last_choice = (last_chunk.get("choices") or [{}])[0]
+    last_chunk = forwarding.chunks[-1] if forwarding.chunks else b""
     completion = {
         "id": open_message.request_id,
         "object": "chat.completion",
@@ -256,10 +255,10 @@
                     "role": "assistant",
                     "content": join_event_text(forwarding.chunks),
                 },
-                "finish_reason": last_choice.get("finish_reason"),
+                "finish_reason": read_choice(last_chunk).get("finish_reason"),
             }
         ],
-        "usage": last_chunk.get("usage"),
+        "usage": read_event(last_chunk).get("usage"),
     }
     return json_response(completion, headers={"X-Request-Id": open_message.request_id})
 
--- a/bilberryspring/process/node_state.py
+++ b/bilberryspring/process/node_state.py
@@ -11,6 +11,7 @@
 )
 from bilberryspring.connection.calls import register_call_handler
 from bilberryspring.identifiers import InstanceId
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.process.accounting import ControlMechanism
 from bilberryspring.process.logs import log_event
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
@@ -111,10 +112,23 @@
     reply = await _call(process, instance, STATE_METHOD)
     if isinstance(reply, Failure):
         return NodeStatus(instance, None, reply.reason)
+    state = decode_node_state(reply)
+    if isinstance(state, Failure):
+        return NodeStatus(instance, None, state.reason)
+    return NodeStatus(instance, state)
+
+
+def decode_node_state(reply: bytes) -> NodeState | Failure:
+    """Decode the state that a node reports.
+
+    :param reply: reply to a call of ``STATE_METHOD``.
+    :returns: the state, or a failure if the reply is malformed.
+    """
     try:
-        return NodeStatus(instance, NodeState(**json.loads(reply)))
-    except (ValueError, TypeError) as error:
-        return NodeStatus(instance, None, f"malformed state: {error}")
+        return NodeState(**json.loads(reply))
+    except MALFORMED_ERRORS as error:
+        reason = f"malformed state: {describe_error(error)}"
+        return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
 
 
 async def request_drain(process: Any, instance_id: InstanceId) -> None | Failure:
--- a/bilberryspring/process/orders.py
+++ b/bilberryspring/process/orders.py
@@ -22,6 +22,7 @@
 from bilberryspring.connection.calls import register_call_handler
 from bilberryspring.connection.http_bodies import read_body
 from bilberryspring.identifiers import InstanceId
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.process.accounting import ControlMechanism
 from bilberryspring.process.logs import log_event
 from bilberryspring.request.engine_control import make_engine_session
@@ -198,10 +199,21 @@
 async def _handle_order_call(
     process: Any, payload: bytes, caller: InstanceId
 ) -> bytes | Failure:
+    decoded = decode_order_call(payload)
+    if isinstance(decoded, Failure):
+        return decoded
+    return await process.orders.execute(*decoded)
+
+
+def decode_order_call(payload: bytes) -> tuple[Order, int] | Failure:
+    """Decode the payload of a call that gives an order to an agent.
+
+    :param payload: JSON object of the order and its fencing number.
+    :returns: both, or a failure if the payload is malformed.
+    """
     try:
         document = json.loads(payload)
         fencing = int(document.pop("fencing"))
-        order = Order(**document)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return make_failure(ErrorKind.MALFORMED_REQUEST, repr(error))
-    return await process.orders.execute(order, fencing)
+        return Order(**document), fencing
+    except MALFORMED_ERRORS as error:
+        return make_failure(ErrorKind.MALFORMED_REQUEST, describe_error(error))
--- a/bilberryspring/request/cache_directory.py
+++ b/bilberryspring/request/cache_directory.py
@@ -16,6 +16,7 @@
 
 from bilberryspring.connection.cache_directory_messages import CacheLocation
 from bilberryspring.identifiers import ChatKey, EngineVersion
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 
 __all__ = ["CacheDirectory", "digest_prefixes", "read_messages"]
 
@@ -107,7 +108,7 @@
     """
     try:
         messages = pydantic_core.from_json(body).get("messages")
-    except (ValueError, AttributeError):
+    except MALFORMED_ERRORS:
         return []
     return messages if isinstance(messages, list) else []
 
--- a/bilberryspring/request/claim_values.py
+++ b/bilberryspring/request/claim_values.py
@@ -21,6 +21,7 @@
     WorkspaceName,
     digest_content,
 )
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 
 __all__ = [
     "CLAIM_PREFIX",
@@ -195,7 +196,7 @@
         if raw.startswith(VALUE_VERSION):
             return _decode_message(raw[len(VALUE_VERSION) :])
         return _decode_json(raw)
-    except (capnp.KjException, ValueError, TypeError, KeyError, RecursionError):
+    except MALFORMED_ERRORS:
         return None
 
 
--- a/bilberryspring/request/engine_calls.py
+++ b/bilberryspring/request/engine_calls.py
@@ -15,7 +15,7 @@
 )
 from bilberryspring.request.buffered_response import BufferedResponse
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
-from bilberryspring.request.event_text import join_event_text
+from bilberryspring.request.event_text import join_event_text, read_choice
 from bilberryspring.request.stream_liveness import wait_until_stream_lost
 from bilberryspring.version.objects import PoolKind
 
@@ -112,8 +112,7 @@
     """Return whether only the end marker is missing from a response."""
     if not answer.chunks:
         return False
-    choices = json.loads(answer.chunks[-1]).get("choices") or [{}]
-    return bool(choices[0].get("finish_reason"))
+    return bool(read_choice(answer.chunks[-1]).get("finish_reason"))
 
 
 def _make_engine_body(call: BackendCall) -> bytes | Failure:
--- a/bilberryspring/request/request_execution.py
+++ b/bilberryspring/request/request_execution.py
@@ -1,7 +1,6 @@
 """Execution of a request at an agent, from admission to the end of its response."""
 
 import asyncio
-import json
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -27,6 +26,7 @@
 from bilberryspring.request.claim_protocol import StoredResponse
 from bilberryspring.request.engine_control import StreamAction
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
+from bilberryspring.request.event_text import read_event
 from bilberryspring.request.idempotency import parse_idempotency_key
 from bilberryspring.request.preemption import StreamControls
 from bilberryspring.request.ticket import Ticket, TicketState, WorkItem
@@ -236,7 +236,9 @@
         return
     if not (answer.chunks and request.chat_key):
         return
-    usage = json.loads(answer.chunks[-1]).get("usage") or {}
+    usage = read_event(answer.chunks[-1]).get("usage")
+    if not isinstance(usage, dict):
+        usage = {}
     process.start_task(process.cache_moves.report_computed(request, usage))
 
 
--- a/bilberryspring/request/stream_liveness.py
+++ b/bilberryspring/request/stream_liveness.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from enum import Enum
 
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.process.logs import log_event
 from bilberryspring.request.engine_control import (
     StreamAction,
@@ -60,9 +61,17 @@
         return StreamState.UNREACHABLE
     if reply.status == 404:
         return StreamState.ABSENT
+    return decode_stream_state(reply.body)
+
+
+def decode_stream_state(body: bytes) -> StreamState:
+    """Return the state in an engine's reply, waiting if it is malformed.
+
+    :param body: body of the reply.
+    """
     try:
-        is_running = json.loads(reply.body)["state"] == StreamState.RUNNING.value
-    except (ValueError, KeyError, TypeError):
+        is_running = json.loads(body)["state"] == StreamState.RUNNING.value
+    except MALFORMED_ERRORS:
         return StreamState.WAITING
     return StreamState.RUNNING if is_running else StreamState.WAITING
 
--- a/bilberryspring/version/delta.py
+++ b/bilberryspring/version/delta.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 
 from bilberryspring.identifiers import digest_content
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
-from bilberryspring.version.decode_errors import DECODE_ERRORS
 from bilberryspring.version.objects import (
     SECTION_MODELS,
     Configuration,
@@ -204,7 +204,7 @@
             digest=str(document["digest"]),
             sections=sections,
         )
-    except DECODE_ERRORS as error:
+    except MALFORMED_ERRORS as error:
         return _make_invalid_delta(f"malformed delta: {type(error).__name__}: {error}")
 
 
--- a/bilberryspring/version/record.py
+++ b/bilberryspring/version/record.py
@@ -9,8 +9,8 @@
 import zlib
 from dataclasses import asdict, dataclass
 
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
-from bilberryspring.version.decode_errors import DECODE_ERRORS
 from bilberryspring.version.document import (
     MAX_DOCUMENT_BYTES,
     check_document,
@@ -170,7 +170,7 @@
     try:
         members = json.loads(value)
         return Head(int(members["version"]), str(members["digest"]))
-    except DECODE_ERRORS as error:
+    except MALFORMED_ERRORS as error:
         return _make_corrupt(f"head: {error}")
 
 
@@ -193,7 +193,7 @@
     try:
         members = json.loads(header)
         return VersionRecord(int(members["version"]), str(members["digest"]), document)
-    except DECODE_ERRORS as error:
+    except MALFORMED_ERRORS as error:
         return _make_corrupt(f"version record: {error}")
 
 
@@ -226,7 +226,7 @@
             counts=counts,
             delta=delta,
         )
-    except DECODE_ERRORS as error:
+    except MALFORMED_ERRORS as error:
         return _make_corrupt(f"change record: {error}")
 
 
--- a/bilberryspring/version/updates.py
+++ b/bilberryspring/version/updates.py
@@ -3,8 +3,8 @@
 import json
 from dataclasses import dataclass
 
+from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
-from bilberryspring.version.decode_errors import DECODE_ERRORS
 
 __all__ = [
     "Announcement",
@@ -142,7 +142,7 @@
         if not isinstance(members, dict):
             raise ValueError("expected an object")
         return int(members["version"])
-    except DECODE_ERRORS as error:
+    except MALFORMED_ERRORS as error:
         return _make_malformed(f"malformed version: {error}")
 
 
@@ -171,7 +171,7 @@
         members = json.loads(header)
         count = int(members["deltas"])
         version, digest = int(members["version"]), str(members["digest"])
-    except DECODE_ERRORS as error:
+    except MALFORMED_ERRORS as error:
         return _make_malformed(f"malformed update: {error}")
     if not count:
         return Update(version, digest, document=content)
