Refuse requests with a number of tokens that nothing can have

Fix: token counts and the sizes of prompt parts must be within 0 and 2**31 - 1, or the request is malformed. A length hint below zero, an estimate only, counts as none.

Tests: the five odd values were accepted before and are refused now.

--- a/bilberryspring/platform/caller_requests.py
+++ b/bilberryspring/platform/caller_requests.py
@@ -17,6 +17,7 @@
 )
 from bilberryspring.connection.http_caller import CallerConnection, HttpRequest
 from bilberryspring.identifiers import ModelName, RequestId
+from bilberryspring.malformed_input import MALFORMED_ERRORS, require_int
 from bilberryspring.platform import wire_names as wire
 from bilberryspring.request.errors import (
     ERROR_RESPONSES,
@@ -49,6 +50,7 @@
 _BEARER_SCHEME = b"bearer "
 # Callers that wait at most this long send no deadline header.
 DEFAULT_DEADLINE_MS = 30_000
+MAX_TOKENS = 2**31 - 1
 
 
 class HttpCallerResponse:
@@ -173,7 +175,7 @@
         if not math.isfinite(deadline_ms):
             raise ValueError(f"the deadline {deadline_ms} is not finite")
         prompt = _decode_prompt(header_values)
-    except (ValueError, OverflowError) as error:
+    except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed header: {error}")
     return IncomingRequest(
         request_id=RequestId(request_id),
@@ -200,21 +202,30 @@
     counts = headers.get(wire.TOKEN_COUNTS)
     if counts is None:
         return None
-    input_tokens, output_tokens = (int(part) for part in counts.split(b","))
+    input_tokens, output_tokens = map(_parse_tokens, counts.split(b","))
     parts = []
     for part in filter(None, headers.get(wire.PROMPT_PREFIX, b"").split(b",")):
         part_id, _, tokens = part.strip().decode("latin-1").rpartition(":")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, _parse_tokens(tokens)))
     length_hint = headers.get(wire.LENGTH_HINT, b"")
     return Prompt(
         model=ModelName(unquote(headers.get(wire.MODEL, b"").decode("latin-1"))),
         input_tokens=input_tokens,
         output_tokens=output_tokens,
         parts=tuple(parts),
-        hinted_output_tokens=int(float(length_hint)) if length_hint else 0,
+        hinted_output_tokens=_parse_tokens(max(float(length_hint or 0), 0.0)),
     )
 
 
+def _parse_tokens(value: str | bytes | float) -> int:
+    """Return a number of tokens.
+
+    :raises ValueError: if it is not a number of that range.
+    :raises OverflowError: if it is infinite.
+    """
+    return require_int(int(value), "a number of tokens", 0, MAX_TOKENS)
+
+
 def _filter_headers(
     headers: list[tuple[bytes, bytes]], connection_header: bytes
 ) -> list[tuple[bytes, bytes]]:
--- a/bilberryspring/platform/tests/test_caller_requests.py
+++ b/bilberryspring/platform/tests/test_caller_requests.py
@@ -43,3 +43,19 @@
     decoded = decode(Token_Counts="10,5", Length_Hint=hint)
     assert isinstance(decoded, Failure)
     assert decoded.kind is ErrorKind.MALFORMED_REQUEST
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("Token_Counts", "9" * 4_000 + ",1"),
+        ("Token_Counts", "1,-5"),
+        ("Prompt_Prefix", "a:" + "9" * 400),
+        ("Prompt_Prefix", "a:-3"),
+        ("Length_Hint", "1e300"),
+    ],
+)
+def test_number_of_tokens_out_of_range_is_refused(name, value):
+    decoded = decode(**{"Token_Counts": "5,5", "Prompt_Prefix": "a:5", name: value})
+    assert isinstance(decoded, Failure)
+    assert decoded.kind is ErrorKind.MALFORMED_REQUEST
