Test both watchers against odd entries in the store

An entry of 100,000 nested brackets beside a sound server, in place of one, and in place of the configuration: both watchers go on, and what follows is applied.

--- a/bilberryspring/platform/tests/test_store_watchers.py
+++ b/bilberryspring/platform/tests/test_store_watchers.py
@@ -323,3 +323,17 @@
     calls, until_called_s = run_on_virtual_clock(_follow_through_outage(10.0, True))
     assert calls > 40
     assert until_called_s <= 0.25
+
+
+async def test_odd_entry_beside_sound_ones_ends_no_watcher(harness):
+    await harness.store.put("servers/s1", SERVER_ENTRY)
+    await harness.store.put("servers/s2", b"[" * 100_000)
+    await harness.store.put("op/config", CONFIGURATION)
+    await wait_for(lambda: harness.is_listed() and harness.applied_tables)
+    await harness.store.put("op/config", b"[" * 100_000)
+    await harness.store.put("servers/s1", b"[" * 100_000)
+    await wait_for(lambda: not harness.is_listed())
+    await harness.store.put("servers/s3", SERVER_ENTRY)
+    await harness.store.put("op/config", {**CONFIGURATION, "version": 8})
+    await wait_for(lambda: harness.is_listed("s3") and len(harness.applied_tables) == 2)
+    assert not any(task.done() for task in harness.tasks)
