Restart a failed task after 2 s at most

A changed configuration must be in force within 3 s, also if the input that ended its watcher was replaced just after a failure. Pauses on the virtual clock are 0.5, 1, 2, 2 and 2 s.

--- a/bilberryspring/process/task_restarts.py
+++ b/bilberryspring/process/task_restarts.py
@@ -11,7 +11,7 @@
 __all__ = ["run_with_restarts"]
 
 MIN_RESTART_DELAY_S = 0.5
-MAX_RESTART_DELAY_S = 4.0
+MAX_RESTART_DELAY_S = 2.0
 # A task that ran for this long has coped with the input that it starts with.
 STABLE_RUN_S = 10.0
 
