--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -76,7 +76,7 @@
     "configuration_published": Event(_STATE, "a published version was accepted"),
     "configuration_adopted": Event(_STATE, "a version is now in force in this process"),
     "announcement_refused": Event(_STATE, "an announced version could not be decoded"),
-    "update_refused": Event(_STATE, "a configuration or server entry was invalid"),
+    "update_refused": Event(_STATE, "an entry of the store was invalid"),
     "watch_failed": Event(_STATE, "an exception in the configuration watch"),
     "configuration_task_failed": Event(_STATE, "an exception in announcing a version"),
     # Claims
