--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -98,17 +98,18 @@
         path_prefix=_require_string(route, "prefix"),
         rule=_EXECUTION_RULES[route["kind"]],
         pools=pools,
-        max_servers=max(1, _read_integer(route, "attempts", 1)),
+        max_servers=max(1, _read_integer(route, "attempts", 1, -MAX_INTEGER)),
         timeout_s=timeout_ms / 1000,
         target_s=(_read_number(route, "goalMs", 0) or timeout_ms) / 1000,
         pause_target_s=_read_number(route, "gapGoalMs", 0) / 1000,
-        rank_order=_clamp_rank(_read_integer(route, "priority", LEAST_URGENT_RANK)),
+        rank_order=_read_rank(route),
         is_public=_read_flag(route, "public"),
         is_resumable=_read_flag(route, "resumable"),
     )
 
 
-def _clamp_rank(priority: int) -> int:
+def _read_rank(document: Mapping) -> int:
+    priority = _read_integer(document, "priority", LEAST_URGENT_RANK, -MAX_INTEGER)
     return min(max(priority, 0), LEAST_URGENT_RANK)
 
 
@@ -123,7 +124,7 @@
             slots=_read_integer(engine, "slots"),
             cache_tokens=_read_integer(engine, "kvTokens"),
             # Number of tokens in one event of a stream.
-            chunk_tokens=max(1, _read_integer(engine, "stride", 1)),
+            chunk_tokens=max(1, _read_integer(engine, "stride", 1, -MAX_INTEGER)),
             can_fetch=_read_flag(engine, "moves"),
         ),
     )
@@ -132,10 +133,7 @@
 def _decode_workspace_keys(document: Mapping) -> dict[str, WorkspaceKey]:
     keys = {}
     for tenant in _require_list(document, "tenants"):
-        priority = tenant.get("priority")
-        rank = None
-        if priority is not None:
-            rank = _clamp_rank(_read_integer(tenant, "priority"))
+        rank = None if tenant.get("priority") is None else _read_rank(tenant)
         workspace = WorkspaceName(_require_string(tenant, "name"))
         for key in _require_list(tenant, "apiKeys") if "apiKeys" in tenant else ():
             if not isinstance(key, str):
@@ -216,8 +214,10 @@
     return require_finite(default if value is None else value, name, lowest=0)
 
 
-def _read_integer(document: Mapping, name: str, default: int | None = None) -> int:
-    """Return an integer that is not negative; see :func:`_read_number`.
+def _read_integer(
+    document: Mapping, name: str, default: int | None = None, lowest: int = 0
+) -> int:
+    """Return an integer; see :func:`_read_number`.
 
     Some encoders write integers as numbers with a fraction of zero.
     """
@@ -225,7 +225,7 @@
     value = default if value is None else value
     if isinstance(value, float) and value.is_integer():
         value = int(value)
-    return require_int(value, name, 0, MAX_INTEGER)
+    return require_int(value, name, lowest, MAX_INTEGER)
 
 
 def _read_flag(document: Mapping, name: str) -> bool:
--- a/bilberryspring/platform/tests/test_odd_configurations.py
+++ b/bilberryspring/platform/tests/test_odd_configurations.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bilberryspring.capability.routing import find_route
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.identifiers import StoreEpoch
 from bilberryspring.platform import configuration_watcher
@@ -74,3 +75,13 @@
 def test_version_with_a_fraction_of_zero_is_read():
     content = json.dumps({**CONFIGURATION, "version": 3.0}).encode()
     assert decode_routing_table(content, POSITION).version == 3
+
+
+def test_numbers_that_are_clamped_do_not_make_a_configuration_odd():
+    for old, new in (
+        (b'"priority": 2', b'"priority": -1'),
+        (b'"attempts": 1', b'"attempts": -1'),
+    ):
+        table = decode_routing_table(replace_in_configuration(old, new), POSITION)
+        route = find_route(table, "a.example", "/orders/x")
+        assert route.rank_order in (0, 2) and route.max_servers == 1
