Let the key-value stand-in be restored from a copy

Control calls /standin/copy and /standin/restore. After a restoration later writes and leases are gone, their revisions and lease ids are given out again, open watches end, the events up to the copy count as compacted, and the cluster has another cluster_id. A watch from a revision that the store doesn't have yet reports only changes from that revision on, as etcd does; the stand-in reported all before.

--- a/bilberryspring/standin/key_value.py
+++ b/bilberryspring/standin/key_value.py
@@ -63,6 +63,8 @@
         application.router.add_post(path, _make_call_handler(path, model, handler))
     application.router.add_post("/v3/watch", _serve_watch)
     application.router.add_post("/standin/faults", _set_faults)
+    application.router.add_post("/standin/copy", _copy_store)
+    application.router.add_post("/standin/restore", _restore_store)
     application.router.add_get("/standin/calls", _report_calls)
     return application
 
@@ -294,6 +296,16 @@
     return web.json_response(faults.model_dump())
 
 
+async def _copy_store(request: web.Request) -> web.Response:
+    request.app[STANDIN].make_copy()
+    return web.json_response({})
+
+
+async def _restore_store(request: web.Request) -> web.Response:
+    status = 200 if request.app[STANDIN].restore() else 409
+    return web.json_response({}, status=status)
+
+
 async def _report_calls(request: web.Request) -> web.Response:
     standin = request.app[STANDIN]
     by_path = {
--- a/bilberryspring/standin/key_value_responses.py
+++ b/bilberryspring/standin/key_value_responses.py
@@ -23,7 +23,6 @@
     "format_watch_events",
 ]
 
-CLUSTER_ID = "14841639068965178418"
 MEMBER_ID = "10276657743932975437"
 
 
@@ -33,7 +32,7 @@
     :param store: store whose revision the header reports.
     """
     return {
-        "cluster_id": CLUSTER_ID,
+        "cluster_id": store.cluster_id,
         "member_id": MEMBER_ID,
         "revision": str(store.revision),
         "raft_term": "2",
--- a/bilberryspring/standin/key_value_state.py
+++ b/bilberryspring/standin/key_value_state.py
@@ -11,7 +11,7 @@
 from bilberryspring.process.settings import Address
 from bilberryspring.standin.key_value_checks import RESOURCE_EXHAUSTED, GatewayError
 from bilberryspring.standin.key_value_messages import WatchCreateRequest
-from bilberryspring.standin.key_value_store import Event, KeyValueStore
+from bilberryspring.standin.key_value_store import Event, KeyValueStore, StoreCopy
 from bilberryspring.standin.token_bucket import TokenBucket
 
 __all__ = ["KeyValueSettings", "KeyValueFaults", "Watch", "KeyValueStandin"]
@@ -78,10 +78,12 @@
         :param events: events of one change.
         """
         first_key, end_key = self.request.key, self.request.range_end
+        first_revision = self.request.start_revision
         matching = [
             event
             for event in events
-            if _in_range(event.current.key, first_key, end_key)
+            if event.current.mod_revision >= first_revision
+            and _in_range(event.current.key, first_key, end_key)
         ]
         if matching:
             self.batches.put_nowait(matching)
@@ -91,12 +93,14 @@
     """State of one key-value stand-in.
 
     :param settings: settings of the stand-in.
+    :ivar copy: copy of the store that the next restoration uses; None if there is none.
     :ivar calls: number of calls by path, and of ``reads``, ``writes`` and ``refused``.
     """
 
     def __init__(self, settings: KeyValueSettings):
         self.store = KeyValueStore(time.monotonic)
         self.faults = KeyValueFaults()
+        self.copy: StoreCopy | None = None
         self.calls: Counter[str] = Counter()
         self.watches: set[Watch] = set()
         self.started_s = time.monotonic()
@@ -131,6 +135,21 @@
         task.add_done_callback(self._calls_in_progress.discard)
         return await asyncio.shield(task)
 
+    def make_copy(self) -> None:
+        """Copy the store, for a later restoration."""
+        self.copy = self.store.copy()
+
+    def restore(self) -> bool:
+        """Restore the store from its copy and end every watch.
+
+        :returns: whether there was a copy.
+        """
+        if self.copy is None:
+            return False
+        self.store.restore(self.copy)
+        self.end_watches()
+        return True
+
     def end_watches(self) -> None:
         """End every open watch."""
         for watch in self.watches:
--- a/bilberryspring/standin/key_value_store.py
+++ b/bilberryspring/standin/key_value_store.py
@@ -1,8 +1,9 @@
 """In-memory key-value store with revisions, transactions and leases."""
 
+import secrets
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from sortedcontainers import SortedDict
 
@@ -32,6 +33,7 @@
     "Lease",
     "RangeResult",
     "TransactionResult",
+    "StoreCopy",
     "KeyValueStore",
 ]
 
@@ -113,10 +115,27 @@
     responses: list["RangeResult | StoredValue | None | list | TransactionResult"]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Snapshot of a store, from which it can be restored.
+
+    :param revision: revision at the time of the copy.
+    :param values: values of all keys.
+    :param leases: leases at that time.
+    :param next_lease_id: id that the next lease would have got.
+    """
+
+    revision: int
+    values: tuple[StoredValue, ...]
+    leases: tuple[Lease, ...]
+    next_lease_id: int
+
+
 class KeyValueStore:
     """Key-value store in the manner of etcd.
 
     :param clock: function that returns the time in seconds, for the expiry of leases.
+    :ivar cluster_id: identity of the cluster; a restoration changes it.
     :ivar revision: revision of the last change.
     :ivar compacted_revision: latest revision whose events are no longer retained.
     :ivar leases: leases that have not expired, by id.
@@ -124,6 +143,7 @@
     """
 
     def __init__(self, clock: Callable[[], float]):
+        self.cluster_id = _make_cluster_id()
         self.revision = 1
         self.compacted_revision = 0
         self.leases: dict[int, Lease] = {}
@@ -230,6 +250,37 @@
         for lease in expired:
             self.revoke_lease(lease.lease_id)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state, as a snapshot holds it."""
+        return StoreCopy(
+            self.revision,
+            tuple(self._values.values()),
+            tuple(
+                replace(lease, keys=set(lease.keys)) for lease in self.leases.values()
+            ),
+            self._next_lease_id,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy, as a new cluster.
+
+        Later writes and leases are gone, and their revisions and ids are given out
+        again. The history of events before the copy is not part of it.
+
+        :param copy: state to return to.
+        """
+        self.cluster_id = _make_cluster_id()
+        self.revision = self.compacted_revision = copy.revision
+        self._values = SortedDict({stored.key: stored for stored in copy.values})
+        self._history.clear()
+        self.leases = {
+            lease.lease_id: replace(
+                lease, keys=set(lease.keys), expires_s=self._clock() + lease.ttl_s
+            )
+            for lease in copy.leases
+        }
+        self._next_lease_id = copy.next_lease_id
+
     def events_since(self, revision: int) -> list[Event]:
         """Return the retained events of a revision and of later ones.
 
@@ -343,6 +394,10 @@
         return _is_comparison_true(self._values.get(compare.key), compare)
 
 
+def _make_cluster_id() -> str:
+    return str(secrets.randbits(63) | 1)
+
+
 def _select_operations(
     request: TransactionRequest, succeeded: bool
 ) -> list[RequestOperation]:
--- a/bilberryspring/standin/tests/test_key_value.py
+++ b/bilberryspring/standin/tests/test_key_value.py
@@ -228,3 +228,33 @@
     assert 429 in statuses
     assert calls["writes"] == 50
     assert calls["refused"] == statuses.count(429)
+
+
+async def test_restored_store_gives_revisions_and_leases_out_again(client):
+    assert (await client.post("/standin/restore")).status == 409
+    await call(client, "/v3/kv/put", make_put_request("kept", "1"))
+    assert (await client.post("/standin/copy")).status == 200
+    before = await call(client, "/v3/kv/put", make_put_request("lost", "1"))
+    lease = await call(client, "/v3/lease/grant", {"TTL": "60", "ID": "0"})
+    assert (await client.post("/standin/restore")).status == 200
+    assert await read_values(client, "kept") == ["1"]
+    assert await read_values(client, "lost") == []
+    after = await call(client, "/v3/kv/put", make_put_request("other", "1"))
+    assert after["header"]["revision"] == before["header"]["revision"]
+    assert after["header"]["cluster_id"] != before["header"]["cluster_id"]
+    again = await call(client, "/v3/lease/grant", {"TTL": "60", "ID": "0"})
+    assert again["ID"] == lease["ID"]
+
+
+async def test_restored_store_reports_only_changes_from_the_revision_of_a_watch(client):
+    await client.post("/standin/copy")
+    for number in range(3):
+        await call(client, "/v3/kv/put", make_put_request("a", str(number)))
+    await client.post("/standin/restore")
+    watch = {"create_request": {"key": encode("a"), "start_revision": "4"}}
+    async with client.post("/v3/watch", json=watch) as stream:
+        await stream.content.readline()
+        for number in range(3):
+            await call(client, "/v3/kv/put", make_put_request("a", f"new {number}"))
+        [event] = json.loads(await stream.content.readline())["result"]["events"]
+    assert event["kv"]["value"] == encode("new 2")
