Let the key-value client know the history of its store

A watch that was open when the store came back from a copy was reopened at a revision of the former history. The restored store had a lower one, so that changes up to it were never reported, without an error. The same number named two writes, and a late reply of the cluster before was taken for the present one's.

Each reply names its cluster in header.cluster_id, which was not read. The client now keeps it as StoreHistoryId in StoreHistory: reads, transactions and watch messages state it, a reply of a former history is a failure of unknown outcome, a watch starts anew with a WatchReset, and others are told of each change. The identities are not ordered, unlike StoreEpoch, hence a type of its own.

--- a/bilberryspring/capability/store.py
+++ b/bilberryspring/capability/store.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import Protocol
 
+from bilberryspring.capability.store_history import StoreHistory
+from bilberryspring.identifiers import StoreHistoryId
 from bilberryspring.process.accounting import ControlMechanism
 from bilberryspring.request.errors import Failure
 
@@ -66,11 +68,13 @@
     :param items: keys that were found, in order.
     :param revision: store revision of the read.
     :param more: whether the read was cut off at its limit and further keys exist.
+    :param history_id: history that the revisions belong to; empty if it is not known.
     """
 
     items: tuple[KeyValue, ...]
     revision: int
     more: bool = False
+    history_id: StoreHistoryId = StoreHistoryId("")
 
 
 class CompareTarget(Enum):
@@ -188,11 +192,13 @@
     :param succeeded: whether every condition held, so that ``success`` was applied.
     :param responses: results of the applied operations, in order.
     :param revision: store revision after the transaction.
+    :param history_id: history that the revisions belong to; empty if it is not known.
     """
 
     succeeded: bool
     responses: tuple["OperationResult", ...]
     revision: int
+    history_id: StoreHistoryId = StoreHistoryId("")
 
 
 OperationResult = PutResult | DeleteResult | KeyRange | TransactionResult
@@ -221,7 +227,8 @@
 class WatchReset:
     """Notice that a watch missed changes, so the watcher must read the keys again.
 
-    :param revision: compaction revision; the store has discarded older changes.
+    :param revision: oldest revision whose changes the watch still reports; the store
+        has discarded older changes or was restored from a copy.
     """
 
     revision: int
@@ -285,8 +292,14 @@
     Each call returns its result or a failure of the kind ``PLATFORM_UNAVAILABLE``. The
     outcome of the failure states whether a write may have taken effect. Each call takes
     the ``mechanism`` that its traffic is accounted to.
+
+    An answer of a former history of the store is a failure, too.
+
+    :ivar history: the history of the store that this client is in contact with.
     """
 
+    history: StoreHistory
+
     async def start(self) -> None:
         """Open the client."""
 
--- a/bilberryspring/identifiers.py
+++ b/bilberryspring/identifiers.py
@@ -19,6 +19,7 @@
     "ConfigVersion",
     "EngineVersion",
     "StoreEpoch",
+    "StoreHistoryId",
     "digest_content",
 ]
 
@@ -36,6 +37,7 @@
 ConfigVersion = NewType("ConfigVersion", int)
 EngineVersion = NewType("EngineVersion", str)
 StoreEpoch = NewType("StoreEpoch", int)
+StoreHistoryId = NewType("StoreHistoryId", str)
 
 
 def digest_content(content: bytes) -> str:
--- a/bilberryspring/platform/keyvalue.py
+++ b/bilberryspring/platform/keyvalue.py
@@ -24,6 +24,8 @@
     WatchEvent,
     WatchReset,
 )
+from bilberryspring.capability.store_history import StoreHistory
+from bilberryspring.identifiers import StoreHistoryId
 from bilberryspring.platform.keyvalue_gateway import (
     Gateway,
     make_unavailable,
@@ -36,6 +38,7 @@
     encode_operation,
     encode_transaction,
     encode_watch,
+    parse_history_id,
     parse_revision,
 )
 from bilberryspring.platform.reply_errors import (
@@ -61,6 +64,7 @@
     :param timeout_s: timeout of one call in seconds, including all its attempts.
     :param ledger: counts calls and bytes.
     :param connect_timeout_s: timeout of one connection attempt in seconds.
+    :ivar history: history of the store, as its replies state it.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         ledger: Ledger,
         connect_timeout_s: float = 0.5,
     ) -> None:
+        self.history = StoreHistory()
         self._gateway = Gateway(addresses, timeout_s, ledger, connect_timeout_s)
 
     async def start(self) -> None:
@@ -130,7 +135,7 @@
         reply = await self._gateway.call(
             "/v3/kv/txn", encode_transaction(transaction), mechanism, is_write=True
         )
-        return _decode_reply(decode_transaction, reply)
+        return self._decode(decode_transaction, reply)
 
     async def put(
         self, key: str, value: bytes, lease_id: int = 0, *, mechanism: ControlMechanism
@@ -145,7 +150,7 @@
         """
         body = encode_operation(Put(key, value, lease_id))
         reply = await self._gateway.call("/v3/kv/put", body, mechanism, is_write=True)
-        return _decode_reply(parse_revision, reply)
+        return self._decode(parse_revision, reply)
 
     async def delete(self, key: str, *, mechanism: ControlMechanism) -> int | Failure:
         """Delete one key.
@@ -158,7 +163,7 @@
         reply = await self._gateway.call(
             "/v3/kv/deleterange", body, mechanism, is_write=True
         )
-        return _decode_reply(lambda document: int(document.get("deleted", 0)), reply)
+        return self._decode(lambda document: int(document.get("deleted", 0)), reply)
 
     async def grant_lease(
         self, ttl_s: float, *, mechanism: ControlMechanism
@@ -176,7 +181,7 @@
         reply = await self._gateway.call(
             "/v3/lease/grant", body, mechanism, is_write=True
         )
-        granted = _decode_reply(
+        granted = self._decode(
             lambda document: (int(document["ID"]), int(document["TTL"])), reply
         )
         if isinstance(granted, Failure):
@@ -201,7 +206,7 @@
         reply = await self._gateway.call(
             "/v3/lease/keepalive", body, mechanism, is_write=True
         )
-        return _decode_reply(
+        return self._decode(
             lambda document: float(document.get("result", document).get("TTL", 0)),
             reply,
         )
@@ -219,7 +224,8 @@
         reply = await self._gateway.call(
             "/v3/lease/revoke", body, mechanism, is_write=True
         )
-        return reply if isinstance(reply, Failure) else None
+        revoked = self._decode(lambda _: None, reply)
+        return revoked if isinstance(revoked, Failure) else None
 
     async def watch(
         self,
@@ -233,7 +239,8 @@
 
         If a watch breaks or receives no message within `idle_timeout_s`, the iterator
         yields a failure and opens the watch again after the last change received, so
-        that no change is missed.
+        that no change is missed. After a restoration of the store it yields a
+        :class:`WatchReset`, since revisions of the former history mean nothing.
 
         :param prefix: prefix of the keys.
         :param start_revision: first revision to report; zero for changes from now on.
@@ -242,6 +249,7 @@
             is opened again.
         """
         next_revision = start_revision
+        history_id = self.history.current_id
         delay_s = WATCH_RETRY_MIN_S
         while True:
             body = encode_watch(prefix, next_revision)
@@ -251,11 +259,17 @@
                 if isinstance(message, Failure):
                     yield message
                     break
-                changes = _decode_reply(decode_watch_message, message)
+                changes = self._decode(decode_watch_message, message)
                 if isinstance(changes, Failure):
                     yield changes
                     break
                 delay_s = WATCH_RETRY_MIN_S
+                if _is_other_history(history_id, changes.history_id):
+                    history_id = changes.history_id
+                    next_revision = changes.revision + 1
+                    yield WatchReset(next_revision)
+                    break
+                history_id = changes.history_id or history_id
                 if changes.compact_revision:
                     next_revision = changes.compact_revision
                     yield WatchReset(next_revision)
@@ -267,13 +281,33 @@
             await asyncio.sleep(delay_s)
             delay_s = min(delay_s * 2, WATCH_RETRY_MAX_S)
 
+    def _decode(
+        self, decode: Callable[[JsonObject], T], reply: JsonObject | Failure
+    ) -> T | Failure:
+        """Decode a reply, unless it is a late one of a former history of the store.
+
+        A write of a former history may be part of the present one.
+        """
+        if isinstance(reply, Failure):
+            return reply
+        # The gateway wraps replies of streaming calls, such as keep-alives.
+        history_id = _decode_reply(
+            lambda document: parse_history_id(document.get("result", document)), reply
+        )
+        if isinstance(history_id, Failure):
+            return history_id
+        if not self.history.observe(history_id):
+            reason = f"the reply is from the former cluster {history_id}"
+            return make_unavailable(reason, Outcome.UNKNOWN)
+        return _decode_reply(decode, reply)
+
     async def _read(
         self, path: str, get: Get, mechanism: ControlMechanism
     ) -> KeyRange | Failure:
         reply = await self._gateway.call(
             path, encode_operation(get), mechanism, is_write=False
         )
-        return _decode_reply(decode_key_range, reply)
+        return self._decode(decode_key_range, reply)
 
 
 def make_key_value_client(
@@ -288,6 +322,10 @@
     return KeyValueClient(addresses, timeout_s, ledger)
 
 
+def _is_other_history(held: StoreHistoryId, stated: StoreHistoryId) -> bool:
+    return bool(held and stated) and held != stated
+
+
 def _decode_reply(
     decode: Callable[[JsonObject], T], reply: JsonObject | Failure
 ) -> T | Failure:
--- a/bilberryspring/platform/keyvalue_messages.py
+++ b/bilberryspring/platform/keyvalue_messages.py
@@ -28,6 +28,7 @@
     WatchEventKind,
     prefix_end,
 )
+from bilberryspring.identifiers import StoreHistoryId
 
 __all__ = [
     "WatchMessage",
@@ -39,6 +40,7 @@
     "decode_key_value",
     "decode_transaction",
     "decode_watch_message",
+    "parse_history_id",
     "parse_revision",
 ]
 
@@ -59,12 +61,14 @@
 
     :param events: changes, oldest first.
     :param revision: store revision; zero if the message does not contain it.
+    :param history_id: history that the revisions belong to; empty if it is not known.
     :param compact_revision: oldest revision that the store still has, if the watch
         requested an older one; otherwise zero.
     """
 
     events: tuple[WatchEvent, ...]
     revision: int
+    history_id: StoreHistoryId
     compact_revision: int = 0
 
 
@@ -186,6 +190,17 @@
     return int(reply.get("header", {}).get("revision", 0))
 
 
+def parse_history_id(reply: JsonObject) -> StoreHistoryId:
+    """Return the identity of the cluster that sent a reply.
+
+    A cluster that is restored from a snapshot has another identity.
+
+    :param reply: JSON object of the reply.
+    :returns: the identity, empty if the reply has none.
+    """
+    return StoreHistoryId(str(reply.get("header", {}).get("cluster_id", "")))
+
+
 def decode_key_value(raw: JsonObject) -> KeyValue:
     """Decode a key and its value.
 
@@ -210,6 +225,7 @@
         items=tuple(decode_key_value(raw) for raw in reply.get("kvs", ())),
         revision=parse_revision(reply),
         more=bool(reply.get("more", False)),
+        history_id=parse_history_id(reply),
     )
 
 
@@ -235,6 +251,7 @@
         succeeded=bool(reply.get("succeeded", False)),
         responses=tuple(_decode_response(raw) for raw in reply.get("responses", ())),
         revision=parse_revision(reply),
+        history_id=parse_history_id(reply),
     )
 
 
@@ -244,7 +261,9 @@
     :param result: JSON object of the message.
     """
     if result.get("canceled") and result.get("compact_revision"):
-        return WatchMessage((), 0, int(result["compact_revision"]))
+        return WatchMessage(
+            (), 0, parse_history_id(result), int(result["compact_revision"])
+        )
     events = tuple(
         WatchEvent(
             _EVENT_KINDS[raw.get("type", "PUT")],
@@ -252,4 +271,4 @@
         )
         for raw in result.get("events", ())
     )
-    return WatchMessage(events, parse_revision(result))
+    return WatchMessage(events, parse_revision(result), parse_history_id(result))
