Compare values of claims, not revisions that a restored store gives out again

Two agents could both hold a key. One saw the key released at revision r; the store came back from a copy, in which the key was absent, and another agent's claim of it got revision r; the first one's compare then held, and its write replaced the claim. Record and release compared the revision of the own claim, which may be another's, too.

Values don't come back for another claim: a claim has a token, and the released value now has the token of the released claim. So all compares are by value. A released value without a token, of the version before, is still compared by revision. What was ruled out: comparing both, since a forwarded transaction has one compare.

A claim's end is longer by its value; the bytes were not measured.

--- a/bilberryspring/request/claim_attempts.py
+++ b/bilberryspring/request/claim_attempts.py
@@ -61,11 +61,9 @@
                 break
             continue
         decision = interpret_claim_result(claim.attempt, result, wall_clock())
-        if isinstance(decision, ClaimHeld):
-            claim.attempt = replace(claim.attempt, held_revision=decision.revision)
         if not isinstance(decision, ClaimReleased):
             return decision
-        # Earlier attempts compare with a revision that the key no longer has.
+        # Earlier attempts compare with a value that the key no longer has.
         may_take_effect = False
-        claim.attempt = replace(claim.attempt, base_revision=decision.revision)
+        claim.attempt = replace(claim.attempt, base=decision)
     return ClaimUndecided(failure, may_take_effect)
--- a/bilberryspring/request/claim_protocol.py
+++ b/bilberryspring/request/claim_protocol.py
@@ -1,10 +1,12 @@
 """Transactions of the claim protocol and the interpretation of their results.
 
-A claim is a compare-and-swap from the revision at which the key was last seen
-(zero for absent) to the state ``claimed`` with a unique token. Such a write can take
-effect long after its caller stopped waiting for it, but not after the revision of the
-key has changed. A claim is therefore released by writing the state ``released`` and
-not by deleting the key: the compare of every delayed write of the claim then fails.
+A claim is a compare-and-swap from the state in which the key was last seen, absent or
+released, to the state ``claimed`` with a unique token. Such a write can take effect
+long after its caller stopped waiting for it, but not after the value of the key has
+changed. A claim is therefore released by writing the state ``released`` with its token
+and not by deleting the key: the compare of every delayed write of the claim then fails.
+Values are compared, not revisions, since a store that is restored from a copy gives
+revisions out again.
 """
 
 from dataclasses import dataclass
@@ -55,37 +57,30 @@
 
     :param path: key in the key-value service.
     :param value: the claim to be stored.
-    :param base_revision: expected revision of the key; zero if it is expected to be
-        absent.
-    :param held_revision: revision that the write of the claim created; zero while it
-        is not known.
+    :param base: released value that the key is expected to have, and its revision;
+        ``None`` if the key is expected to be absent.
     """
 
     path: str
     value: ClaimValue
-    base_revision: int = 0
-    held_revision: int = 0
+    base: "ClaimReleased | None" = None
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimHeld:
-    """Result of a successful claim.
-
-    :param revision: revision that the write of the claim created.
-    """
-
-    revision: int
+    """Result of a successful claim."""
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimReleased:
     """Result of a claim on a key that is absent or was released.
 
-    :param revision: revision of the key, which the next attempt compares with; zero
-        if the key is absent.
+    :param revision: revision of the key; zero if the key is absent.
+    :param value: stored value, which the next attempt compares with if it has a token.
     """
 
     revision: int
+    value: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,8 +97,15 @@
     body: bytes
 
 
-def _compare_revision(path: str, revision: int) -> Compare:
-    return mod_revision_is(path, revision) if revision else key_absent(path)
+def _compare_base(attempt: ClaimAttempt) -> Compare:
+    base = attempt.base
+    if base is None or not base.revision:
+        return key_absent(attempt.path)
+    released = decode_claim_value(base.value)
+    if released is not None and released.token:
+        # Values with a token differ in all histories of the store; revisions don't.
+        return value_is(attempt.path, base.value)
+    return mod_revision_is(attempt.path, base.revision)
 
 
 def make_claim_transaction(attempt: ClaimAttempt) -> Transaction:
@@ -114,8 +116,7 @@
     expiration can free the key.
     """
     put = Put(attempt.path, encode_claim_value(attempt.value))
-    compare = _compare_revision(attempt.path, attempt.base_revision)
-    return Transaction((compare,), (put,), (Get(attempt.path),))
+    return Transaction((_compare_base(attempt),), (put,), (Get(attempt.path),))
 
 
 def make_release_transaction(attempt: ClaimAttempt) -> Transaction:
@@ -124,13 +125,10 @@
     The claim need not be known to have taken effect: once this transaction has been
     applied, no write of the claim can take effect.
     """
-    released = encode_claim_value(make_released_value())
+    released = encode_claim_value(make_released_value(attempt.value.token))
     put = Put(attempt.path, released)
-    if attempt.held_revision:
-        return Transaction((_compare_claimed(attempt),), (put,))
     if_claimed = Transaction((_compare_claimed(attempt),), (put,))
-    compare = _compare_revision(attempt.path, attempt.base_revision)
-    return Transaction((compare,), (put,), (if_claimed,))
+    return Transaction((_compare_base(attempt),), (put,), (if_claimed,))
 
 
 def make_record_transaction(attempt: ClaimAttempt, outcome: ClaimValue) -> Transaction:
@@ -144,8 +142,6 @@
 
 
 def _compare_claimed(attempt: ClaimAttempt) -> Compare:
-    if attempt.held_revision:
-        return mod_revision_is(attempt.path, attempt.held_revision)
     return value_is(attempt.path, encode_claim_value(attempt.value))
 
 
@@ -164,7 +160,7 @@
     [response] = result.responses
     if result.succeeded:
         assert isinstance(response, PutResult)
-        return ClaimHeld(response.revision)
+        return ClaimHeld()
     assert isinstance(response, KeyRange)
     if not response.items:
         return ClaimReleased(0)
@@ -173,9 +169,9 @@
     if stored is None:
         return make_failure(ErrorKind.OUTCOME_UNKNOWN, "the stored claim is unreadable")
     if stored == attempt.value:
-        return ClaimHeld(item.mod_revision)
+        return ClaimHeld()
     if stored.state is ClaimState.RELEASED:
-        return ClaimReleased(item.mod_revision)
+        return ClaimReleased(item.mod_revision, item.value)
     return resolve_existing_claim(stored, attempt.value.digest, now_s)
 
 
--- a/bilberryspring/request/claim_values.py
+++ b/bilberryspring/request/claim_values.py
@@ -128,9 +128,12 @@
     )
 
 
-def make_released_value() -> ClaimValue:
-    """Return the value that releases a key, so that any request may claim it."""
-    return ClaimValue(state=ClaimState.RELEASED)
+def make_released_value(token: bytes) -> ClaimValue:
+    """Return the value that releases a key, so that any request may claim it.
+
+    :param token: token of the released claim; it makes the value unique.
+    """
+    return ClaimValue(state=ClaimState.RELEASED, token=token)
 
 
 def make_unknown_value(claimed: ClaimValue) -> ClaimValue:
--- a/bilberryspring/request/tests/test_claim_model.py
+++ b/bilberryspring/request/tests/test_claim_model.py
@@ -58,7 +58,7 @@
     if not result.succeeded and result.responses[0].items:
         stored = decode_claim_value(result.responses[0].items[0].value)
         if stored.state is ClaimState.CLAIMED:
-            return ClaimHeld(result.responses[0].items[0].mod_revision)
+            return ClaimHeld()
     return interpret_claim_result(attempt, result, now_s)
 
 
