Write claims again that a restored store has lost

An order ran twice when the key-value service came back from a copy that lacked its claim or its record: a repetition at another agent found the key absent. A holder that had claimed before the restoration sent after it, though another agent could hold the key.

The store was the only place that knew an outcome. When it learns of another history, from any reply or from a forwarded claim's result, which now names the history, it - writes the claims of all sent requests again: over an absent key, a released claim or its own claim without the outcome; another's claim stays, - withdraws its claims that were not sent, as 'not run', - refuses new claims as 'not run' for 10 s, in which the other agents do the same.

Ruled out: a check at the send, since the store can be restored right after it; a lease or a mark in the store, which is lost with the claim.

--- a/bilberryspring/connection/claim_messages.py
+++ b/bilberryspring/connection/claim_messages.py
@@ -25,6 +25,7 @@
     mod_revision_is,
     value_is,
 )
+from bilberryspring.identifiers import StoreHistoryId
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -140,7 +141,9 @@
     :param result: result of a transaction that :func:`encode_key_transaction` accepts.
     :returns: encoded message.
     """
-    message = _schema.KeyTransactionResult.new_message(succeeded=result.succeeded)
+    message = _schema.KeyTransactionResult.new_message(
+        succeeded=result.succeeded, historyId=result.history_id
+    )
     for operation_result in result.responses:
         if isinstance(operation_result, PutResult):
             message.revision = operation_result.revision
@@ -159,12 +162,13 @@
     """
     try:
         message = _schema.KeyTransactionResult.from_bytes_packed(payload)
+        history_id = StoreHistoryId(message.historyId)
         if message.succeeded:
             responses = (PutResult(message.revision),)
-            return TransactionResult(True, responses, message.revision)
+            return TransactionResult(True, responses, message.revision, history_id)
         found = KeyValue("", bytes(message.value), 0, message.revision, 0)
         items = (found,) if message.found else ()
-        return TransactionResult(False, (KeyRange(items, 0),), 0)
+        return TransactionResult(False, (KeyRange(items, 0),), 0, history_id)
     except (capnp.KjException, ValueError, TypeError) as error:
         reason = f"malformed result: {str(error).splitlines()[0]}"
         return make_failure(ErrorKind.MALFORMED_REQUEST, reason)
--- a/bilberryspring/connection/claims.capnp
+++ b/bilberryspring/connection/claims.capnp
@@ -40,9 +40,11 @@
 }
 
 # Result of a transaction on one key. `found` and `value` are the result of the read.
+# `historyId` names the history of the store; it is empty from senders that don't know it.
 struct KeyTransactionResult {
   succeeded @0 :Bool;
   found @1 :Bool;
   revision @2 :Int64;
   value @3 :Data;
+  historyId @4 :Text;
 }
--- a/bilberryspring/connection/tests/test_claim_messages.py
+++ b/bilberryspring/connection/tests/test_claim_messages.py
@@ -23,6 +23,7 @@
     encode_key_transaction,
     encode_key_transaction_result,
 )
+from bilberryspring.identifiers import StoreHistoryId
 from bilberryspring.request.errors import ErrorKind, Failure
 
 PREFIX = "/c/"
@@ -49,7 +50,7 @@
 @pytest.mark.parametrize(
     "result",
     [
-        TransactionResult(True, (PutResult(5),), 5),
+        TransactionResult(True, (PutResult(5),), 5, StoreHistoryId("9")),
         TransactionResult(False, (KeyRange((), 0),), 0),
         TransactionResult(False, (KeyRange((KeyValue("", b"v", 0, 9, 0),), 0),), 0),
     ],
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -82,6 +82,9 @@
     "configuration_task_failed": Event(_STATE, "an exception in announcing a version"),
     # Claims
     "claim_refused": Event(_FAILED, "a claim failed at the key-value service"),
+    "claims_restored": Event(
+        _STATE, "the claims of sent requests are written to a restored store again"
+    ),
     "claims_left": Event(_STATE, "claim results were not written before shutdown"),
     "claims_swept": Event(_STATE, "expired claims were deleted"),
     # Requests
--- a/bilberryspring/request/claim_batches.py
+++ b/bilberryspring/request/claim_batches.py
@@ -12,7 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bilberryspring.capability.store import (
     Put,
@@ -213,7 +213,7 @@
         return [_make_store_failure("the reply is incomplete", Outcome.UNKNOWN)] * len(
             transactions
         )
-    return results
+    return [replace(result, history_id=reply.history_id) for result in results]
 
 
 async def _send_single(
--- a/bilberryspring/request/claim_final_writes.py
+++ b/bilberryspring/request/claim_final_writes.py
@@ -14,6 +14,7 @@
 
 from bilberryspring.capability.store import (
     Transaction,
+    TransactionResult,
 )
 from bilberryspring.process.logs import log_event
 from bilberryspring.request.claim_batches import SubmitTransaction
@@ -35,12 +36,15 @@
         when it is applied late.
     :param expires_s: time since the epoch after which every agent refuses the key for
         its age, so that a failed write is not retried.
+    :param continue_after: returns the transaction to send after a result, ``None`` if
+        the write is complete; by default it is.
     :param completed: set when the write was acknowledged or has expired.
     """
 
     path: str
     transaction: Transaction
     expires_s: float
+    continue_after: Callable[[TransactionResult], Transaction | None] = lambda _: None
     completed: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -124,8 +128,13 @@
         """
         result = await self._submit(final_write.transaction)
         is_expired = self._wall_clock() > final_write.expires_s
-        if isinstance(result, Failure) and not is_expired:
-            return False
+        if not is_expired:
+            if isinstance(result, Failure):
+                return False
+            following = final_write.continue_after(result)
+            if following is not None:
+                final_write.transaction = following
+                return False
         self._pending.remove(final_write)
         final_write.completed.set()
         self._on_written(final_write)
--- a/bilberryspring/request/claim_forwarding.py
+++ b/bilberryspring/request/claim_forwarding.py
@@ -22,6 +22,7 @@
     Transaction,
     TransactionResult,
 )
+from bilberryspring.capability.store_history import StoreHistory
 from bilberryspring.connection.calls import register_call_handler
 from bilberryspring.connection.claim_messages import (
     decode_key_transaction,
@@ -128,6 +129,8 @@
     :param ledger: counts calls and bytes.
     :param clock: returns monotonic seconds.
     :param wall_clock: returns the seconds since the epoch; it determines the time slot.
+    :param history: history of the key-value service, which forwarded results also tell;
+        ``None`` to take every result.
     """
 
     def __init__(
@@ -139,6 +142,7 @@
         ledger: Ledger,
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
+        history: StoreHistory | None = None,
     ) -> None:
         self._instance_id = instance_id
         self._fleet = fleet
@@ -147,6 +151,7 @@
         self._ledger = ledger
         self._clock = clock
         self._wall_clock = wall_clock
+        self._history = history or StoreHistory()
         self._cooldown_until_s: dict[InstanceId, float] = {}
         self._batcher_by_shard: dict[int, tuple[int, Instance]] = {}
 
@@ -210,11 +215,11 @@
             return reply
         self._ledger.count(ControlMechanism.CLAIMS, calls=0, received_bytes=len(reply))
         result = decode_key_transaction_result(reply)
-        return (
-            _make_lost_reply_failure(result.reason)
-            if isinstance(result, Failure)
-            else result
-        )
+        if isinstance(result, Failure):
+            return _make_lost_reply_failure(result.reason)
+        if not self._history.observe(result.history_id):
+            return _make_lost_reply_failure("the result is of a former history")
+        return result
 
     def _start_cooldown(self, instance_id: InstanceId) -> None:
         now_s = self._clock()
--- a/bilberryspring/request/claim_protocol.py
+++ b/bilberryspring/request/claim_protocol.py
@@ -41,6 +41,8 @@
     "make_claim_transaction",
     "make_record_transaction",
     "make_release_transaction",
+    "make_restore_transaction",
+    "continue_restore",
     "interpret_claim_result",
 ]
 
@@ -141,6 +143,45 @@
     return Transaction((_compare_claimed(attempt),), (put,))
 
 
+def make_restore_transaction(path: str, value: ClaimValue) -> Transaction:
+    """Return the transaction that writes a claim again if its key is absent.
+
+    :param path: key in the key-value service.
+    :param value: the claim of a request that was sent, or its outcome.
+    """
+    put = Put(path, encode_claim_value(value))
+    return Transaction((key_absent(path),), (put,), (Get(path),))
+
+
+def continue_restore(
+    attempt: ClaimAttempt, value: ClaimValue, result: TransactionResult
+) -> Transaction | None:
+    """Return the transaction that follows another one of a restoration.
+
+    The own claim without its outcome, and a released claim, are replaced. What another
+    request has claimed stays.
+
+    :param attempt: attempt that held the claim.
+    :param value: the claim, or its outcome.
+    :param result: result of the previous transaction.
+    :returns: the next transaction, ``None`` if the key has its final value.
+    """
+    [response] = result.responses
+    if result.succeeded or not isinstance(response, KeyRange):
+        return None
+    if not response.items:
+        return make_restore_transaction(attempt.path, value)
+    [item] = response.items
+    stored = decode_claim_value(item.value)
+    is_own = stored == attempt.value and stored != value
+    is_released = stored is not None and stored.state is ClaimState.RELEASED
+    if not is_own and not is_released:
+        return None
+    put = Put(attempt.path, encode_claim_value(value))
+    compare = value_is(attempt.path, item.value)
+    return Transaction((compare,), (put,), (Get(attempt.path),))
+
+
 def _compare_claimed(attempt: ClaimAttempt) -> Compare:
     return value_is(attempt.path, encode_claim_value(attempt.value))
 
--- a/bilberryspring/request/claims.py
+++ b/bilberryspring/request/claims.py
@@ -15,6 +15,7 @@
 from bilberryspring.capability.store import (
     Store,
 )
+from bilberryspring.capability.store_history import StoreHistory
 from bilberryspring.identifiers import (
     IdempotencyKey,
     InstanceId,
@@ -51,6 +52,7 @@
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 from bilberryspring.request.held_claims import Claim, ClaimPhase, HeldClaims
 from bilberryspring.request.idempotency import check_key_age
+from bilberryspring.request.remembered_claims import RememberedClaims
 
 __all__ = ["Claim", "ClaimStore", "StoredResponse", "make_claim_store"]
 
@@ -58,6 +60,9 @@
 MAX_OPEN_CLAIMS = 1000
 MAX_RECORD_WAIT_S = 1.0
 CLOSE_TIMEOUT_S = 5.0
+# In this time after a restoration of the store, every agent learns of it and writes the
+# claims of its requests again.
+RESTORATION_GRACE_S = 10.0
 
 
 def make_claim_token() -> bytes:
@@ -80,6 +85,7 @@
         there is none.
     :param make_token: returns a different token at each call.
     :param record_wait_s: longest wait until a response is stored; zero does not wait.
+    :param history: history of the key-value service; ``None`` if it is never restored.
     """
 
     def __init__(
@@ -96,6 +102,7 @@
         sweeper: ClaimSweeper | None = None,
         make_token: Callable[[], bytes] = make_claim_token,
         record_wait_s: float = MAX_RECORD_WAIT_S,
+        history: StoreHistory | None = None,
     ) -> None:
         self._instance_id = instance_id
         self._retention_s = retention_s
@@ -106,7 +113,12 @@
         self._breaker = breaker
         self._make_token = make_token
         self._record_wait_s = record_wait_s
+        self._history_number = 0
+        self._trusted_from_s = 0.0
         self.held = HeldClaims(submit, retention_s, wall_clock)
+        self.remembered = RememberedClaims(retention_s)
+        if history is not None:
+            history.change_callbacks.append(self._handle_restoration)
         self.batcher = batcher
         self.sweeper = sweeper
 
@@ -156,7 +168,9 @@
             a failure. ``CLAIM_STORE_UNAVAILABLE`` means that this attempt did not run.
         """
         path = make_claim_path(route, workspace, key)
-        existing = self.held.find(path)
+        existing = self.held.find(path) or self.remembered.find(
+            path, self._wall_clock()
+        )
         if existing is not None:
             return resolve_existing_claim(
                 existing.current_value, content_digest, self._wall_clock()
@@ -166,9 +180,14 @@
             return failure
         value = self._make_value(content_digest, deadline_monotonic_s)
         attempt = ClaimAttempt(path, value)
-        claim = Claim(attempt, key, deadline_monotonic_s)
+        claim = Claim(
+            attempt, key, deadline_monotonic_s, history_number=self._history_number
+        )
         try:
-            return await self._acquire(claim)
+            result = await self._acquire(claim)
+            if result is claim and self._is_of_former_history(claim):
+                return self._withdraw(claim)
+            return result
         except asyncio.CancelledError:
             self.held.finalize(claim, make_release_transaction(claim.attempt))
             raise
@@ -185,6 +204,8 @@
             claim is released.
         """
         assert claim.phase is ClaimPhase.HELD
+        if self._is_of_former_history(claim):
+            return self._withdraw(claim)
         now_s = self._clock()
         failure = check_key_age(claim.key, self._wall_clock(), self._retention_s)
         if failure is None and now_s >= claim.deadline_monotonic_s:
@@ -198,6 +219,39 @@
         self.held.finalize(claim, make_release_transaction(claim.attempt))
         return failure
 
+    def _is_of_former_history(self, claim: Claim) -> bool:
+        return claim.history_number != self._history_number
+
+    def _withdraw(self, claim: Claim) -> Failure:
+        """Release a claim that the store may have lost, before anything is sent."""
+        self.held.finalize(claim, make_release_transaction(claim.attempt))
+        return self._make_restoration_failure()
+
+    def _make_restoration_failure(self) -> Failure:
+        wait_s = max(self._trusted_from_s - self._clock(), 1.0)
+        return _make_unavailable_failure(
+            "the key-value service was restored from a copy", wait_s
+        )
+
+    def _handle_restoration(self) -> None:
+        """Write the claims of sent requests again, and refuse new ones meanwhile.
+
+        Other agents do the same, so that claims which the copy lacks are in the store
+        before this agent trusts it.
+        """
+        self._history_number += 1
+        self._trusted_from_s = self._clock() + RESTORATION_GRACE_S
+        sent = self.held.list_sent()
+        paths = {claim.attempt.path for claim in sent}
+        sent += [
+            claim
+            for claim in self.remembered.list_newest_first(self._wall_clock())
+            if claim.attempt.path not in paths
+        ]
+        log_event("claims_restored", level="WARNING", claims=len(sent))
+        for claim in sent:
+            self.held.restore(claim)
+
     async def release(self, claim: Claim) -> None | Failure:
         """Release a claim whose request was not sent.
 
@@ -243,9 +297,13 @@
     def _record_outcome(self, claim: Claim, outcome: ClaimValue) -> FinalWrite:
         assert claim.phase is ClaimPhase.SENDING
         claim.outcome = outcome
-        return self.held.finalize(
+        self.remembered.add(claim)
+        final_write = self.held.finalize(
             claim, make_record_transaction(claim.attempt, outcome)
         )
+        if self._is_of_former_history(claim):
+            self.held.restore(claim)
+        return final_write
 
     def _check_before_claim(
         self, key: IdempotencyKey, deadline_monotonic_s: float
@@ -257,6 +315,8 @@
             return make_failure(ErrorKind.DEADLINE_EXCEEDED, outcome=Outcome.NOT_RUN)
         if len(self.held) + self.pending_final_writes >= MAX_OPEN_CLAIMS:
             return _make_unavailable_failure("too many claims are open", 1.0)
+        if self._clock() < self._trusted_from_s:
+            return self._make_restoration_failure()
         wait_s = self._breaker.get_retry_after_s()
         if wait_s is not None:
             return _make_unavailable_failure("the key-value service is down", wait_s)
@@ -328,7 +388,14 @@
         return not isinstance(found, Failure)
 
     batcher = TransactionBatcher(key_value, call_timeout_s)
-    forwarder = ClaimForwarder(instance_id, fleet, batcher, call_timeout_s, ledger)
+    forwarder = ClaimForwarder(
+        instance_id,
+        fleet,
+        batcher,
+        call_timeout_s,
+        ledger,
+        history=key_value.history,
+    )
     sweeper = ClaimSweeper(key_value, instance_id, retention_s, list_groups)
     return ClaimStore(
         instance_id,
@@ -338,4 +405,5 @@
         call_timeout_s,
         batcher=batcher,
         sweeper=sweeper,
+        history=key_value.history,
     )
--- a/bilberryspring/request/held_claims.py
+++ b/bilberryspring/request/held_claims.py
@@ -11,7 +11,11 @@
 from bilberryspring.identifiers import IdempotencyKey
 from bilberryspring.request.claim_batches import SubmitTransaction
 from bilberryspring.request.claim_final_writes import FinalWrite, FinalWriter
-from bilberryspring.request.claim_protocol import ClaimAttempt
+from bilberryspring.request.claim_protocol import (
+    ClaimAttempt,
+    continue_restore,
+    make_restore_transaction,
+)
 from bilberryspring.request.claim_values import ClaimValue
 from bilberryspring.request.idempotency import MAX_CLOCK_SKEW_S, read_key_time
 
@@ -35,6 +39,7 @@
     :param deadline_monotonic_s: monotonic time after which the request must not be
         sent.
     :param phase: progress of the holder with the claim.
+    :param history_number: number of changes of the store's history before the claim.
     :param outcome: recorded outcome of the request; ``None`` before it is known and
         for a released claim.
     """
@@ -43,6 +48,7 @@
     key: IdempotencyKey
     deadline_monotonic_s: float
     phase: ClaimPhase = ClaimPhase.HELD
+    history_number: int = 0
     outcome: ClaimValue | None = None
 
     @property
@@ -79,6 +85,14 @@
         """
         return self._by_path.get(path)
 
+    def list_sent(self) -> list[Claim]:
+        """Return the claims whose requests were sent."""
+        return [
+            claim
+            for claim in self._by_path.values()
+            if claim.phase is ClaimPhase.SENDING or claim.outcome is not None
+        ]
+
     def add(self, claim: Claim) -> None:
         """Add a claim that took effect."""
         self._by_path[claim.attempt.path] = claim
@@ -100,6 +114,22 @@
         self.final_writer.add(final_write)
         return final_write
 
+    def restore(self, claim: Claim) -> None:
+        """Write a claim again, in the background, if the store has lost it.
+
+        :param claim: a claim whose request was sent.
+        """
+        expires_s = read_key_time(claim.key) + self._retention_s + MAX_CLOCK_SKEW_S
+        attempt, value = claim.attempt, claim.current_value
+        self.final_writer.add(
+            FinalWrite(
+                attempt.path,
+                make_restore_transaction(attempt.path, value),
+                expires_s,
+                lambda result: continue_restore(attempt, value, result),
+            )
+        )
+
     def _remove_written(self, final_write: FinalWrite) -> None:
         claim = self._by_path.get(final_write.path)
         if claim is not None and claim.phase is ClaimPhase.ENDED:
