Keep the accepted version when the store comes back without it

After a restoration the head named an older version than the one in force. Processes kept theirs, but the next publication got a number that had been in force: it was accepted and reached no process that knew the first content, since it was not newer. A process that started then took the older version until a peer told it the newer one.

A node that polls the head and has a newer version active writes that version and the head again, on the condition that the head is unchanged; an active version was always accepted. A router does so before it publishes, and publishes nothing while the head is below its active version. The head is compared by its value, not its revision. What was ruled out: taking the head back, which would revert accepted configuration.

test_restoration.py: 4 of the 5 new cases failed before (head never named version 3; base 1 was accepted as a second version 2; base 2 was a conflict with version 1), the fifth guards the new call. They pass, as do the whole-system tests test_configuration.py and test_administration.py.

--- a/bilberryspring/process/administration.py
+++ b/bilberryspring/process/administration.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any
 
 from sanic import HTTPResponse, Sanic
@@ -38,6 +38,7 @@
 from bilberryspring.request.errors import (
     ErrorKind,
     Failure,
+    Outcome,
     make_failure,
 )
 from bilberryspring.version.document import (
@@ -164,8 +165,17 @@
     if not isinstance(checked, Configuration):
         return _make_faults_response(checked)
     operator = request.ctx.operator
+    lost = await process.follower.restore_lost_version()
+    if isinstance(lost, Failure):
+        lost = replace(lost, outcome=Outcome.NOT_RUN)
+        return make_problem_response(lost, publish_token=token)
     publication = await publish_configuration(
-        process.key_value, base_version, checked, operator, token
+        process.key_value,
+        base_version,
+        checked,
+        operator,
+        token,
+        active_version=process.holder.version,
     )
     if isinstance(publication, Failure):
         return make_problem_response(publication, publish_token=token)
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -48,6 +48,9 @@
     "lines_left_out": Event(_STATE, "number of dropped log lines, by event"),
     # Membership, connections and dependencies
     "dependency_lost": Event(_STATE, "a dependency is no longer reachable"),
+    "version_restored": Event(
+        _STATE, "a version that the key-value service had lost was written again"
+    ),
     "key_value_restored": Event(
         _STATE, "the key-value service was restored from a copy"
     ),
--- a/bilberryspring/version/dissemination.py
+++ b/bilberryspring/version/dissemination.py
@@ -33,8 +33,12 @@
 from bilberryspring.version.objects import Configuration
 from bilberryspring.version.partners import choose_partners
 from bilberryspring.version.peer_calls import make_version_calls
-from bilberryspring.version.publish import Publication, read_head
-from bilberryspring.version.record import compress_document
+from bilberryspring.version.publish import (
+    Publication,
+    read_head,
+    restore_version,
+)
+from bilberryspring.version.record import VersionRecord, compress_document
 from bilberryspring.version.sources import (
     LoadedVersion,
     apply_deltas,
@@ -90,6 +94,7 @@
         self._announcing_peers: list[InstanceId] = []
         self._version_announced = asyncio.Event()
         self._repair_count = 0
+        self._restoration: asyncio.Task[None] | None = None
         self._history_check: asyncio.Task[None] | None = None
         key_value.history.change_callbacks.append(self._announce_history)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -226,6 +231,37 @@
 
     def _handle_head_version(self, version: int) -> None:
         self.learn_version(version, "")
+        is_restoring = self._restoration is not None and not self._restoration.done()
+        if version < self.holder.version and not is_restoring:
+            self._restoration = self._start_task(self._restore_in_background())
+
+    async def restore_lost_version(self) -> None | Failure:
+        """Write the active version to the key-value service if that has lost it.
+
+        :returns: ``None`` if the service has this version or a newer one, or a failure.
+        """
+        active = self._active
+        if not active.version:
+            return None
+        head = await read_head(self._key_value)
+        if isinstance(head, Failure):
+            return head
+        if head is not None and head.version >= active.version:
+            return None
+        update = await self.make_update(0)
+        if isinstance(update, Failure):
+            return update
+        record = VersionRecord(update.version, update.digest, update.document)
+        is_written = await restore_version(self._key_value, record)
+        if isinstance(is_written, Failure):
+            return is_written
+        if is_written:
+            log_event("version_restored", level="WARNING", version=record.version)
+        return None
+
+    async def _restore_in_background(self) -> None:
+        # After a failure, the next poll of the head tries again.
+        await self.restore_lost_version()
 
     def _adopt(self, loaded: LoadedVersion, source: str) -> None:
         previous = self.holder.version
--- a/bilberryspring/version/head_watcher.py
+++ b/bilberryspring/version/head_watcher.py
@@ -30,7 +30,8 @@
     :param zone: its availability zone.
     :param key_value: client of the platform's key-value service.
     :param members: the process's view of the instance list.
-    :param on_version: callback that receives each version read from the head.
+    :param on_version: callback that receives each version read from the head; zero if
+        there is none.
     """
 
     def __init__(
@@ -72,8 +73,8 @@
     async def _poll_while_selected(self, watch_task: asyncio.Task[None]) -> None:
         while self._is_selected() and not watch_task.done():
             head = await read_head(self._key_value)
-            if head is not None and not isinstance(head, Failure):
-                self._on_version(head.version)
+            if not isinstance(head, Failure):
+                self._on_version(head.version if head else 0)
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _follow_changes(self) -> None:
--- a/bilberryspring/version/publish.py
+++ b/bilberryspring/version/publish.py
@@ -20,7 +20,7 @@
     Put,
     Store,
     key_absent,
-    mod_revision_is,
+    value_is,
 )
 from bilberryspring.process.accounting import ControlMechanism
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
@@ -52,6 +52,7 @@
     "PublishConflict",
     "make_token",
     "publish_configuration",
+    "restore_version",
     "read_head",
     "read_change",
     "read_version",
@@ -118,6 +119,7 @@
     operator: str,
     token: str,
     confirm_timeout_s: float = CONFIRM_TIMEOUT_S,
+    active_version: int = 0,
 ) -> Publication | PublishConflict | Failure:
     """Publish a validated configuration as the next version, atomically.
 
@@ -131,6 +133,8 @@
     :param token: unique token of the publication.
     :param confirm_timeout_s: time limit, in seconds, for repeating a transaction whose
         response was lost.
+    :param active_version: newest version known to be accepted; nothing is published
+        while the service has lost it, since its number would be given out again.
     :returns: the publication, a conflict with the accepted version, or a failure. The
         outcome of the failure states whether the version may have been accepted.
     """
@@ -140,13 +144,18 @@
     head = decode_head(item.value) if item else Head(0, "")
     if isinstance(head, Failure):
         return _mark_not_run(head)
+    if head.version < active_version:
+        reason = f"the key-value service has lost version {active_version}; try again"
+        return make_failure(
+            ErrorKind.PLATFORM_UNAVAILABLE, reason, outcome=Outcome.NOT_RUN
+        )
     if head.version != base_version:
         found = await _find_publication(key_value, base_version, token)
         return _mark_not_run(found) if isinstance(found, Failure) else found
     previous = await _read_base(key_value, base_version)
     if isinstance(previous, Failure):
         return _mark_not_run(previous)
-    condition = mod_revision_is(HEAD_KEY, item.mod_revision) if item else None
+    condition = value_is(HEAD_KEY, item.value) if item else None
     prepared = await asyncio.to_thread(
         _prepare_publication,
         base_version,
@@ -292,6 +301,39 @@
     return decode(item.value)
 
 
+async def restore_version(key_value: Store, record: VersionRecord) -> bool | Failure:
+    """Write an accepted version that the service has lost, as the accepted one.
+
+    The service loses versions when it is restored from a copy. The change records of
+    lost versions are not written again.
+
+    :param key_value: client of the platform's key-value service.
+    :param record: a version that was accepted.
+    :returns: whether this call wrote the version; it is not written if the head names
+        the same or a newer one.
+    """
+    item = await key_value.get(HEAD_KEY, mechanism=MECHANISM)
+    if isinstance(item, Failure):
+        return item
+    head = decode_head(item.value) if item else Head(0, "")
+    if isinstance(head, Failure):
+        return head
+    if head.version >= record.version:
+        return False
+    operations: list[Operation] = [
+        Put(version_key(record.version), encode_version_record(record)),
+        Put(HEAD_KEY, encode_head(Head(record.version, record.digest))),
+    ]
+    oldest = record.version - MAX_STORED_DOCUMENTS + 1
+    if oldest > 1:
+        operations.append(Delete(version_key(0), version_key(oldest)))
+    head_unchanged = value_is(HEAD_KEY, item.value) if item else key_absent(HEAD_KEY)
+    result = await key_value.transact(
+        (head_unchanged,), operations, mechanism=MECHANISM
+    )
+    return result if isinstance(result, Failure) else result.succeeded
+
+
 async def read_head(key_value: Store) -> Head | None | Failure:
     """Read the head, which names the accepted version.
 
