Carry out the order that the restored store holds, and no other

After a restoration new orders got lower fencing numbers than former ones: an agent that had seen these refused them as stale until the counter caught up, and an agent that had not, such as a restarted one, carried out an order that the copy lacks after a newer one.

An agent now carries out only the order that the service holds for it, compared with number and value, whose token is unique. Engines that compare numbers themselves get them raised by the highest one sent before the restoration; an agent that restarts forgets that, and its engine refuses orders until the numbers have caught up.

--- a/bilberryspring/process/orders.py
+++ b/bilberryspring/process/orders.py
@@ -2,7 +2,9 @@
 
 An order's fencing token is the revision at which it was written to the key-value
 service, so tokens increase in the order of acceptance, whichever router writes them.
-Some engines reject an old token themselves; for the others the agent rejects it.
+Some engines reject an old token themselves; for the others the agent rejects each order
+but the one that the service holds. A service that is restored from a copy gives
+revisions out again; the agent then raises the tokens that it sends to the engine.
 """
 
 import asyncio
@@ -53,6 +55,10 @@
     token: str = ""
 
 
+def _encode_order(order: Order) -> bytes:
+    return json.dumps(asdict(order)).encode()
+
+
 def _order_key(instance_id: str) -> str:
     return ORDERS_PREFIX + instance_id
 
@@ -88,7 +94,7 @@
 ) -> int | Failure:
     """Write an order and return its revision, also after a lost reply."""
     key = _order_key(instance_id)
-    value = json.dumps(asdict(order)).encode()
+    value = _encode_order(order)
     revision = await process.key_value.put(
         key, value, mechanism=ControlMechanism.ADMINISTRATION
     )
@@ -112,19 +118,21 @@
     """Fence that passes only the newest order to an engine.
 
     :param process: the agent.
+    :ivar highest_fencing: highest token sent to the engine.
     """
 
     def __init__(self, process: Any):
         self.highest_fencing = 0
+        self._fencing_offset = 0
         self._process = process
+        process.key_value.history.change_callbacks.append(self._raise_offset)
         self._lock = asyncio.Lock()
 
     async def execute(self, order: Order, fencing: int) -> bytes | Failure:
-        """Send an order to the engine unless a newer one is known.
+        """Send an order to the engine if it is the one in the key-value service.
 
-        The fencing token is also compared with the one in the key-value service,
-        because this agent may have been replaced, or paused, since the order was
-        written.
+        The service is asked, because this agent may have been replaced, or paused,
+        since the order was written, and the service may have been restored.
 
         :param order: the order.
         :param fencing: its fencing token.
@@ -134,14 +142,20 @@
             newest = await _read_order(self._process, self._process.instance_id)
             if isinstance(newest, Failure):
                 return newest
-            if newest is not None:
-                self.highest_fencing = max(self.highest_fencing, newest.mod_revision)
-            if fencing < self.highest_fencing:
-                reason = f"fencing token {fencing} is older than {self.highest_fencing}"
+            if newest is None or (newest.mod_revision, newest.value) != (
+                fencing,
+                _encode_order(order),
+            ):
+                reason = f"order {fencing} is not the one in the key-value service"
                 return make_failure(ErrorKind.STALE_ORDER, reason)
-            self.highest_fencing = fencing
+            self.highest_fencing = max(
+                self.highest_fencing, self._fencing_offset + fencing
+            )
             log_event("order_sent", order=order.order, target=order.target)
-            return await self._send(order, fencing)
+            return await self._send(order, self._fencing_offset + fencing)
+
+    def _raise_offset(self) -> None:
+        self._fencing_offset = self.highest_fencing
 
     async def _send(self, order: Order, fencing: int) -> bytes | Failure:
         body = {"order": order.order, "target": order.target, "fencing": fencing}
