--- a/bilberryspring/load/tests/test_capacity.py
+++ b/bilberryspring/load/tests/test_capacity.py
@@ -76,6 +76,7 @@
 def test_message_sizes_match_the_codecs():
     base = make_large_configuration(3_400)
     delta = compare_configurations(base, 1, make_small_change(base), 2)
+    announcement = Announcement(2_600, history_id=2 * "1234567890")
     call = Call(7, "load.exchange", b"x" * 200)
     state_bytes = len(encode_list_state(make_list_state(1_280, 0)))
     changed_bytes = len(encode_list_state(make_list_state(1_280, 2)))
@@ -87,7 +88,7 @@
         "EXCHANGE_REPLY_BYTES": len(encode_load_message(make_load_message(7))),
         "PING_BYTES": len(encode_frame(Ping(7))),
         "DELTA_BYTES": len(encode_delta(delta)),
-        "ANNOUNCEMENT_BYTES": len(encode_announcement(Announcement(2_600))),
+        "ANNOUNCEMENT_BYTES": len(encode_announcement(announcement)),
     }
     for name, length in lengths.items():
         assert getattr(capacity, name) == pytest.approx(length, rel=0.1), name
