Check who holds a key whose revision was reused

The test passed also when the claim was overwritten, since the second agent now withdraws its claim. It reads the stored holder, too: with compares by revision put back, it fails (the second agent is the holder). A case with two restorations in a row, which passes.

--- a/bilberryspring/request/tests/test_claims.py
+++ b/bilberryspring/request/tests/test_claims.py
@@ -66,10 +66,13 @@
     def set_faults(self, **faults):
         self.standin.faults = KeyValueFaults(**faults)
 
-    async def read_states(self):
+    async def read_values(self):
         client = self.opened[1]
         found = await client.get_prefix(CLAIM_PREFIX, mechanism=ControlMechanism.CLAIMS)
-        return [decode_claim_value(item.value).state.value for item in found.items]
+        return [decode_claim_value(item.value) for item in found.items]
+
+    async def read_states(self):
+        return [value.state.value for value in await self.read_values()]
 
 
 @pytest.fixture
--- a/bilberryspring/request/tests/test_claims_restoration.py
+++ b/bilberryspring/request/tests/test_claims_restoration.py
@@ -53,6 +53,8 @@
     result = await claim(second, request)
     assert others_claims
     assert not (isinstance(result, Claim) and isinstance(others_claims[0], Claim))
+    [stored] = await harness.read_values()
+    assert stored.holder == "agent-3"
 
 
 @pytest.fixture(autouse=True)
@@ -206,3 +208,20 @@
     await wait_for_trust(store, batcher)
     assert "claimed" in await harness.read_states()
     await store.record(held, 200, "text/plain", b"done")
+
+
+async def test_order_does_not_run_again_after_two_restorations(harness):
+    first = await harness.open_store("agent-1")
+    second = await harness.open_store("agent-2")
+    request = make_request()
+    await observe(harness)
+    harness.standin.make_copy()
+    held = await claim_and_send(first, request)
+    harness.standin.restore()
+    await observe(harness)
+    await first.record(held, 200, "text/plain", b"done")
+    await wait_for_final_writes(first)
+    harness.standin.restore()
+    await observe(harness)
+    await wait_for_trust(first, second)
+    assert await claim(second, request) == StoredResponse(200, "text/plain", b"done")
