--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -48,6 +48,12 @@
     "lines_left_out": Event(_STATE, "number of dropped log lines, by event"),
     # Membership, connections and dependencies
     "dependency_lost": Event(_STATE, "a dependency is no longer reachable"),
+    "version_restored": Event(
+        _STATE, "a version that the key-value service had lost was written again"
+    ),
+    "key_value_restored": Event(
+        _STATE, "the key-value service was restored from a copy"
+    ),
     "store_restored": Event(_STATE, "the store was restored from a copy"),
     "dependency_regained": Event(_STATE, "a dependency is reachable again"),
     "instance_list_disputed": Event(_STATE, "a peer has a conflicting instance list"),
@@ -81,6 +87,9 @@
     "configuration_task_failed": Event(_STATE, "an exception in announcing a version"),
     # Claims
     "claim_refused": Event(_FAILED, "a claim failed at the key-value service"),
+    "claims_restored": Event(
+        _STATE, "the claims of sent requests are written to a restored store again"
+    ),
     "claims_left": Event(_STATE, "claim results were not written before shutdown"),
     "claims_swept": Event(_STATE, "expired claims were deleted"),
     # Requests
--- a/bilberryspring/version/dissemination.py
+++ b/bilberryspring/version/dissemination.py
@@ -3,8 +3,9 @@
 A fixed number of nodes in each zone watch the key-value service. When a node activates
 a version, it announces the version with its delta to a fixed number of partners. Once
 per second, each node also compares version numbers with one partner, which repairs
-missed announcements. The number of messages that a node sends is therefore independent
-of the size of the fleet.
+missed announcements. Announcements also name the history of the key-value service, so
+that every node learns that the service was restored from a copy. The number of messages
+that a node sends is therefore independent of the size of the fleet.
 """
 
 import asyncio
@@ -20,7 +21,7 @@
     Store,
 )
 from bilberryspring.connection.peers import PeerPool
-from bilberryspring.identifiers import AvailabilityZone, InstanceId
+from bilberryspring.identifiers import AvailabilityZone, InstanceId, StoreHistoryId
 from bilberryspring.process.accounting import Ledger
 from bilberryspring.process.budget import measure_control_cpu
 from bilberryspring.process.logs import log_event
@@ -33,8 +34,12 @@
 from bilberryspring.version.objects import Configuration
 from bilberryspring.version.partners import choose_partners
 from bilberryspring.version.peer_calls import make_version_calls
-from bilberryspring.version.publish import Publication
-from bilberryspring.version.record import compress_document
+from bilberryspring.version.publish import (
+    Publication,
+    read_head,
+    restore_version,
+)
+from bilberryspring.version.record import VersionRecord, compress_document
 from bilberryspring.version.sources import (
     LoadedVersion,
     apply_deltas,
@@ -90,6 +95,9 @@
         self._announcing_peers: list[InstanceId] = []
         self._version_announced = asyncio.Event()
         self._repair_count = 0
+        self._restoration: asyncio.Task[None] | None = None
+        self._history_check: asyncio.Task[None] | None = None
+        key_value.history.change_callbacks.append(self._announce_history)
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -173,8 +181,29 @@
             else:
                 self._adopt(loaded, caller)
         self.learn_version(announcement.version, caller)
+        self._learn_history(announcement.history_id)
         return self.holder.version
 
+    def _learn_history(self, history_id: StoreHistoryId) -> None:
+        """Ask the key-value service if another process knows another history of it."""
+        is_checking = self._history_check is not None and not self._history_check.done()
+        if self._key_value.history.is_unseen(history_id) and not is_checking:
+            self._history_check = self._start_task(self._read_history())
+
+    async def _read_history(self) -> None:
+        # Any reply states the history.
+        await read_head(self._key_value)
+
+    def _announce_history(self) -> None:
+        log_event("key_value_restored", level="WARNING")
+        for partner in self._list_partners():
+            self._start_task(
+                self._announce(partner, self._make_announcement(self.holder.version))
+            )
+
+    def _make_announcement(self, version: int, delta: bytes = b"") -> Announcement:
+        return Announcement(version, delta, self._key_value.history.current_id)
+
     async def make_update(self, known_version: int) -> Update | Failure:
         """Return the update that another process needs to reach the active version.
 
@@ -203,6 +232,37 @@
 
     def _handle_head_version(self, version: int) -> None:
         self.learn_version(version, "")
+        is_restoring = self._restoration is not None and not self._restoration.done()
+        if version < self.holder.version and not is_restoring:
+            self._restoration = self._start_task(self._restore_in_background())
+
+    async def restore_lost_version(self) -> None | Failure:
+        """Write the active version to the key-value service if that has lost it.
+
+        :returns: ``None`` if the service has this version or a newer one, or a failure.
+        """
+        active = self._active
+        if not active.version:
+            return None
+        head = await read_head(self._key_value)
+        if isinstance(head, Failure):
+            return head
+        if head is not None and head.version >= active.version:
+            return None
+        update = await self.make_update(0)
+        if isinstance(update, Failure):
+            return update
+        record = VersionRecord(update.version, update.digest, update.document)
+        is_written = await restore_version(self._key_value, record)
+        if isinstance(is_written, Failure):
+            return is_written
+        if is_written:
+            log_event("version_restored", level="WARNING", version=record.version)
+        return None
+
+    async def _restore_in_background(self) -> None:
+        # After a failure, the next poll of the head tries again.
+        await self.restore_lost_version()
 
     def _adopt(self, loaded: LoadedVersion, source: str) -> None:
         previous = self.holder.version
@@ -224,7 +284,7 @@
         )
         delta = loaded.deltas[-1] if loaded.deltas else b""
         for partner in self._list_partners():
-            announcement = Announcement(loaded.version, delta)
+            announcement = self._make_announcement(loaded.version, delta)
             self._start_task(self._announce(partner, announcement))
 
     def _list_partners(self) -> list[Instance]:
@@ -244,7 +304,7 @@
             if partners:
                 self._repair_count += 1
                 partner = partners[self._repair_count % len(partners)]
-                announcement = Announcement(self.holder.version)
+                announcement = self._make_announcement(self.holder.version)
                 self._start_task(self._announce(partner, announcement))
 
     async def _fetch_new_versions(self) -> None:
@@ -324,10 +384,11 @@
             return None
         return result
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(measure_control_cpu(self._ledger, coroutine))
         self._tasks.add(task)
         task.add_done_callback(self._handle_task_end)
+        return task
 
     def _handle_task_end(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
