Hold the leaving of a server across a restoration of the store

Cause: a listed entry replaced what the router knew, whatever history of the store it came from.

Ruled out: an older list from another router alone. With the epoch of each list known such a list is refused already; the copy itself is the newest list.

Change: process/server_leavings.py keeps for each server that left its start, the number of its last report and the epoch. Within one epoch the order of the store decides, as before. An entry of another epoch is believed if it has a later start, or a higher report number at the same start. An entry without a usable number counts as number zero: it can't show that it is later. Routers pass on leavings of former epochs, four in a report, those reported least often first; a calm fleet sends no byte more. In a full report they take the place of the least loads, since it would not fit into one datagram otherwise.

Bounds: 1024 leavings (the largest fleet has 880 servers); 60 s, within which a leaving server exits and its entry lapses; 30 s for what was heard from another router, and for passing on. Way back: the server's next report, a later start, or the end of that time.

--- a/bilberryspring/capability/routing.py
+++ b/bilberryspring/capability/routing.py
@@ -225,6 +225,8 @@
     :param slots: number of requests that it runs concurrently.
     :param is_ready: whether it accepts new requests; a leaving server does not.
     :param started_at_ms: Unix time of its start in milliseconds; zero if unknown.
+    :param report_number: number of the report that it wrote the entry with, counted
+        since its start; zero if unknown. Servers that differ in it alone are equal.
     """
 
     server_id: InstanceId
@@ -235,6 +237,7 @@
     slots: int
     is_ready: bool
     started_at_ms: int
+    report_number: int = field(default=0, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -16,6 +16,16 @@
   statements @10 :List(ServerStatement);
   # One more than the epoch of the store; zero if that is not known.
   nextStoreEpoch @11 :UInt64;
+  leavings @12 :List(ServerLeaving);
+}
+
+struct ServerLeaving {
+  server @0 :UInt64;
+  startedAtMs @1 :UInt64;
+  reportNumber @2 :UInt32;
+  # As in a report.
+  nextStoreEpoch @3 :UInt64;
+  ageMs @4 :UInt16;
 }
 
 struct SuspectContent {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -16,6 +16,7 @@
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
+    "LeavingReport",
     "RouterLoad",
     "RouterReport",
     "ServerStatement",
@@ -33,6 +34,7 @@
 MAX_LOADS = 32
 MAX_STATEMENTS = 12
 MAX_SUSPECTS = 6
+MAX_LEAVINGS = 4
 MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
@@ -93,6 +95,24 @@
     answer_age_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingReport:
+    """Leaving of a backend server, passed on among routers.
+
+    :param server: hash of the server's id.
+    :param started_at_ms: start of the server that left, as Unix time in milliseconds.
+    :param report_number: number of its last report that was read; zero if unknown.
+    :param epoch: history of the store in which it left; ``None`` if unknown.
+    :param age_s: seconds since a router learnt it, when the report was sent.
+    """
+
+    server: NameHash
+    started_at_ms: int
+    report_number: int
+    epoch: StoreEpoch | None
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RouterReport:
     """State of one router.
@@ -113,6 +133,7 @@
     :param statements: latest statements of backend servers on their own load.
     :param store_epoch: history of the store in which it confirmed this list; ``None``
         if that is not known.
+    :param leavings: servers that left before the store was restored.
     """
 
     sender: InstanceId
@@ -127,6 +148,7 @@
     has_fast_link: bool = True
     statements: tuple[ServerStatement, ...] = ()
     store_epoch: StoreEpoch | None = None
+    leavings: tuple[LeavingReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +188,7 @@
         module are left out.
     :returns: packed Cap'n Proto bytes.
     """
+    leavings = report.leavings[:MAX_LEAVINGS]
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
@@ -186,7 +209,7 @@
                 "heldTokens": min(load.held_tokens, 0xFFFF_FFFF),
                 "isSuspected": load.is_suspected,
             }
-            for load in report.loads[:MAX_LOADS]
+            for load in report.loads[: MAX_LOADS - len(leavings)]
         ],
         statements=[
             {
@@ -197,6 +220,16 @@
             for statement in report.statements[:MAX_STATEMENTS]
         ],
         nextStoreEpoch=_encode_epoch(report.store_epoch),
+        leavings=[
+            {
+                "server": leaving.server,
+                "startedAtMs": min(max(leaving.started_at_ms, 0), 2**64 - 1),
+                "reportNumber": leaving.report_number,
+                "nextStoreEpoch": _encode_epoch(leaving.epoch),
+                "ageMs": min(round(leaving.age_s * 1000), 0xFFFF),
+            }
+            for leaving in leavings
+        ],
     )
     return message.to_bytes_packed()
 
@@ -282,6 +315,16 @@
                 for statement in message.statements
             ),
             store_epoch=_decode_epoch(message.nextStoreEpoch),
+            leavings=tuple(
+                LeavingReport(
+                    NameHash(leaving.server),
+                    leaving.startedAtMs,
+                    leaving.reportNumber,
+                    _decode_epoch(leaving.nextStoreEpoch),
+                    leaving.ageMs / 1000,
+                )
+                for leaving in message.leavings
+            ),
         )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -293,6 +336,7 @@
         ("loads", len(message.loads), MAX_LOADS),
         ("statements", len(message.statements), MAX_STATEMENTS),
         ("suspects", len(message.suspects), MAX_SUSPECTS),
+        ("leavings", len(message.leavings), MAX_LEAVINGS),
     ]
     if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
--- a/bilberryspring/connection/tests/test_router_reports.py
+++ b/bilberryspring/connection/tests/test_router_reports.py
@@ -10,10 +10,12 @@
 from bilberryspring.connection import router_reports
 from bilberryspring.connection.router_reports import (
     MAX_CRASHES_PER_SUSPECT,
+    MAX_LEAVINGS,
     MAX_LOADS,
     MAX_REPORT_BYTES,
     MAX_STATEMENTS,
     MAX_SUSPECTS,
+    LeavingReport,
     RouterLoad,
     RouterReport,
     ServerStatement,
@@ -42,10 +44,23 @@
             SuspectReport(5, True, ((9, 0.001),), None),
         ),
         store_epoch=StoreEpoch(0),
+        leavings=(
+            LeavingReport(2**63 + 5, 1_700_000_000_000, 7, StoreEpoch(0), 0.5),
+            LeavingReport(3, 0, 0, None, 29.0),
+        ),
     )
     assert decode_report(encode_report(report)) == report
 
 
+def test_report_of_the_former_build_decodes_without_leavings():
+    data = encode_report(make_report([RouterLoad(1, 2, 3, 4)]))
+    message = router_reports._schema.RouterReport.from_bytes_packed(data)
+    former = message.as_builder().to_dict()
+    del former["leavings"]
+    message = router_reports._schema.RouterReport.new_message(**former)
+    assert decode_report(message.to_bytes_packed()).leavings == ()
+
+
 def test_report_with_too_many_loads_fits_into_one_datagram():
     loads = [
         RouterLoad(2**64 - 1 - i, 60_000, 2**31, 2**31, True)
@@ -64,6 +79,10 @@
         statements=statements,
         suspects=suspects,
         store_epoch=StoreEpoch(2**63),
+        leavings=tuple(
+            LeavingReport(2**64 - 1 - i, 2**70, 2**32 - 1, StoreEpoch(2**63), 1e6)
+            for i in range(MAX_LEAVINGS * 2)
+        ),
     )
     assert len(encode_report(report)) <= MAX_REPORT_BYTES
 
--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -35,6 +35,7 @@
 _READINESS_BY_STATE = {"ready": True, "draining": False}
 DEFAULT_ROUTE_TIMEOUT_MS = 30_000.0
 LEAST_URGENT_RANK = 9
+MAX_REPORT_NUMBER = 2**32 - 1
 
 
 def decode_routing_table(
@@ -146,12 +147,18 @@
             slots=_require_count(entry, "slots"),
             is_ready=_READINESS_BY_STATE[entry["state"]],
             started_at_ms=started_at_ms if isinstance(started_at_ms, int) else 0,
+            report_number=_read_report_number(entry.get("seq")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         reason = f"malformed entry of server {server_id}: {error!r}"
         return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
 
 
+def _read_report_number(value: object) -> int:
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_number and 0 <= value <= MAX_REPORT_NUMBER else 0
+
+
 def _require_text(entry: Mapping, name: str) -> str:
     value = entry[name]
     if not isinstance(value, str) or not value:
--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -182,6 +182,8 @@
             self._detect_process_pause()
             self._last_check_s = time.monotonic()
             self.remove_expired(self._last_check_s)
+            if self._servers.expire_leavings():
+                self._on_change()
 
     def _detect_process_pause(self) -> None:
         """Detect a pause of this process, which must not count as a store outage."""
@@ -198,7 +200,9 @@
             if now_s >= deadline_s:
                 del self._removal_deadlines_s[server_id]
                 self._servers.remove(
-                    server_id, "its expired entry was not written again"
+                    server_id,
+                    "its expired entry was not written again",
+                    self.store_epoch,
                 )
                 self._on_change()
 
@@ -240,7 +244,7 @@
                 log_event("update_refused", level="WARNING", reason=server.reason)
                 self._servers.remove(server_id, server.reason)
             else:
-                self._servers.put(server)
+                self._servers.put(server, self.store_epoch)
         self._on_change()
 
     def _handle_missing_entry(self, server_id: InstanceId) -> None:
@@ -252,7 +256,7 @@
         if self._store_recovered_s and time.monotonic() < deadline_s:
             self._removal_deadlines_s.setdefault(server_id, deadline_s)
         else:
-            self._servers.remove(server_id, "its entry was removed")
+            self._servers.remove(server_id, "its entry was removed", self.store_epoch)
 
 
 def _parse_server_id(key: str) -> InstanceId:
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -15,6 +15,7 @@
 
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import (
+    MAX_LEAVINGS,
     MAX_LOADS,
     MAX_STATEMENTS,
     MAX_SUSPECTS,
@@ -242,6 +243,7 @@
             if record is not None:
                 self._servers.add_statement(record, statement.requests, statement.age_s)
         self._suspects.merge(report.suspects)
+        self._servers.merge_leavings(report.leavings)
 
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
@@ -297,6 +299,9 @@
         ]
         loads.sort(key=lambda load: (not load.is_suspected, -load.requests))
         suspects = self._suspects.list_reports(MAX_SUSPECTS)
+        leavings = self._servers.leavings.list_reports(
+            MAX_LEAVINGS, self._feed.store_epoch
+        )
         self._sequence += 1
         data = encode_report(
             RouterReport(
@@ -312,11 +317,12 @@
                 self._has_fast_link,
                 self._list_statements(now_s),
                 self._feed.store_epoch,
+                leavings,
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
         fanout = min(_choose_fanout(size_bytes), len(targets))
-        if suspects:
+        if suspects or leavings:
             affordable = max(int(self._budget_bytes // size_bytes), 0)
             fanout = min(fanout, affordable if is_news else max(affordable, 1))
         if not is_news:
--- /dev/null
+++ b/bilberryspring/process/server_leavings.py
@@ -0,0 +1,225 @@
+"""Bounded record of backend servers that left, by which restored lists are checked.
+
+A metadata store that was restored from a copy lists servers as ready that had left
+before. Within one history the order of the store decides. An entry of another history
+has to show that the server wrote it after it left: by a later start, or by a higher
+number of its report.
+"""
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from bilberryspring.capability.routing import BackendServer
+from bilberryspring.connection.load_messages import NameHash, hash_name
+from bilberryspring.connection.router_reports import LeavingReport
+from bilberryspring.identifiers import InstanceId, StoreEpoch
+
+__all__ = [
+    "LeavingSource",
+    "ServerLeaving",
+    "ServerLeavings",
+    "make_server_leavings",
+]
+
+# A server that leaves exits within this time, and its entry then lapses.
+LEAVING_LIFETIME_S = 60.0
+# A leaving that another router reported is held, and passed on, up to this age.
+REPORTED_LIFETIME_S = 30.0
+# More servers than the largest fleet has; about 250 bytes each.
+MAX_LEAVINGS = 1024
+
+
+class LeavingSource(Enum):
+    """Who said that a server leaves."""
+
+    STORE = "store"
+    SERVER = "server"
+    ROUTER = "router"
+
+
+@dataclass(slots=True)
+class ServerLeaving:
+    """What is known of the leaving of one server.
+
+    :param started_at_ms: start of the server that left, as Unix time in milliseconds.
+    :param report_number: number of its last report that was read; zero if unknown.
+    :param epoch: history of the store in which it left; ``None`` if unknown.
+    :param learnt_s: monotonic time at which the first router learnt it.
+    :param source: who said so.
+    :param sent_count: number of reports that it was put into.
+    """
+
+    started_at_ms: int
+    report_number: int
+    epoch: StoreEpoch | None
+    learnt_s: float
+    source: LeavingSource
+    sent_count: int = 0
+
+
+class ServerLeavings:
+    """Leavings of backend servers, the latest last.
+
+    :param read_clock: monotonic clock, in seconds.
+    """
+
+    def __init__(self, read_clock: Callable[[], float] = time.monotonic):
+        self._read_clock = read_clock
+        self._leavings: OrderedDict[NameHash, ServerLeaving] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._leavings)
+
+    def record(self, server: BackendServer, epoch: StoreEpoch | None) -> None:
+        """Record that a server left, by its entry in the store.
+
+        :param server: the server as it was last listed.
+        :param epoch: history of the store in which it left.
+        """
+        name = hash_name(server.server_id)
+        started_at_ms, number = server.started_at_ms, server.report_number
+        known = self._leavings.get(name)
+        if known is not None:
+            started_at_ms, number = max(
+                (started_at_ms, number), (known.started_at_ms, known.report_number)
+            )
+        self._put(
+            name,
+            ServerLeaving(
+                started_at_ms, number, epoch, self._read_clock(), LeavingSource.STORE
+            ),
+        )
+
+    def merge(self, reports: Iterable[LeavingReport]) -> list[NameHash]:
+        """Add what another router reports.
+
+        :param reports: leavings that it knows.
+        :returns: hashes of the ids of the servers whose leavings are news.
+        """
+        now_s = self._read_clock()
+        news = []
+        for report in reports:
+            known = self._leavings.get(report.server)
+            is_known = known is not None and (
+                known.started_at_ms,
+                known.report_number,
+            ) >= (report.started_at_ms, report.report_number)
+            if is_known or report.age_s >= REPORTED_LIFETIME_S:
+                continue
+            self._put(
+                report.server,
+                ServerLeaving(
+                    report.started_at_ms,
+                    report.report_number,
+                    report.epoch,
+                    now_s - report.age_s,
+                    LeavingSource.ROUTER,
+                ),
+            )
+            news.append(report.server)
+        return news
+
+    def is_bound(self, server: BackendServer, epoch: StoreEpoch | None) -> bool:
+        """Return whether a server that is listed as ready has left nevertheless.
+
+        An entry without a start time or a report number can't show that it is later
+        than the leaving.
+
+        :param server: the server as it is listed.
+        :param epoch: history of the store that the list is of.
+        """
+        known = self._find(hash_name(server.server_id))
+        if known is None or epoch == known.epoch:
+            return False
+        return (server.started_at_ms, server.report_number) <= (
+            known.started_at_ms,
+            known.report_number,
+        )
+
+    def forget(self, server_id: InstanceId) -> None:
+        """Forget the leaving of a server that is back.
+
+        :param server_id: its id; one without a leaving is ignored.
+        """
+        self._leavings.pop(hash_name(server_id), None)
+
+    def remove_expired(self) -> list[NameHash]:
+        """Forget leavings whose time is over; return the hashes of their server ids."""
+        now_s = self._read_clock()
+        expired = [
+            name for name, known in self._leavings.items() if _is_over(known, now_s)
+        ]
+        for name in expired:
+            del self._leavings[name]
+        return expired
+
+    def list_reports(
+        self, count: int, epoch: StoreEpoch | None
+    ) -> tuple[LeavingReport, ...]:
+        """Return the leavings that were reported least often, the newest first.
+
+        Routers learn from the store what happened in its present history. Leavings of
+        a former one are repeated, for routers that were cut off meanwhile.
+
+        :param count: maximum number of leavings.
+        :param epoch: present history of the store, as far as it is known.
+        """
+        if epoch is None or not self._leavings:
+            return ()
+        now_s = self._read_clock()
+        needed = [
+            (name, known)
+            for name, known in reversed(self._leavings.items())
+            if known.epoch is not None
+            and known.epoch < epoch
+            and now_s - known.learnt_s < REPORTED_LIFETIME_S
+        ]
+        needed.sort(key=lambda each: each[1].sent_count)
+        for _, known in needed[:count]:
+            known.sent_count += 1
+        return tuple(
+            LeavingReport(
+                name,
+                known.started_at_ms,
+                known.report_number,
+                known.epoch,
+                max(now_s - known.learnt_s, 0.0),
+            )
+            for name, known in needed[:count]
+        )
+
+    def _find(self, name: NameHash) -> ServerLeaving | None:
+        known = self._leavings.get(name)
+        if known is None or _is_over(known, self._read_clock()):
+            return None
+        return known
+
+    def _put(self, name: NameHash, leaving: ServerLeaving) -> None:
+        self._leavings[name] = leaving
+        self._leavings.move_to_end(name)
+        while len(self._leavings) > MAX_LEAVINGS:
+            self._leavings.popitem(last=False)
+
+
+def _is_over(leaving: ServerLeaving, now_s: float) -> bool:
+    is_reported = leaving.source is LeavingSource.ROUTER
+    lifetime_s = REPORTED_LIFETIME_S if is_reported else LEAVING_LIFETIME_S
+    return now_s - leaving.learnt_s >= lifetime_s
+
+
+def make_server_leavings(
+    read_clock: Callable[[], float] = time.monotonic,
+) -> ServerLeavings:
+    """Return an empty record.
+
+    :param read_clock: monotonic clock, in seconds.
+
+    >>> leavings = make_server_leavings()
+    >>> report = LeavingReport(NameHash(5), 100, 7, StoreEpoch(1), 0.5)
+    >>> leavings.merge([report]), leavings.merge([report])
+    ([5], [])
+    """
+    return ServerLeavings(read_clock)
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -2,15 +2,16 @@
 
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
 from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.capability.routing import BackendServer, PartId, Prompt
 from bilberryspring.connection.load_messages import NameHash, hash_name
-from bilberryspring.identifiers import InstanceId, PoolName
+from bilberryspring.connection.router_reports import LeavingReport
+from bilberryspring.identifiers import InstanceId, PoolName, StoreEpoch
 from bilberryspring.policy.load_estimate import (
     DEFAULT_LOAD_ESTIMATOR,
     LOAD_ESTIMATORS,
@@ -19,6 +20,7 @@
     predict_work_time_ratio,
 )
 from bilberryspring.process.logs import log_event
+from bilberryspring.process.server_leavings import make_server_leavings
 
 __all__ = [
     "LoadStatement",
@@ -85,7 +87,7 @@
 class ServerRecord:
     """This router's view of the state of one backend server; times are monotonic.
 
-    :param server: the server as it is listed.
+    :param server: the server as it is listed; not ready if it is known to have left.
     :param listed_s: when it was first listed.
     :param requests: requests of this router that are in flight there.
     :param prompt_tokens: prompt tokens of these requests that it has not read yet.
@@ -110,6 +112,7 @@
     :param slowness: moving average of the response time over the expected time.
     :param slowness_sampled_s: when the slowness was last sampled.
     :param sent_parts: prompt parts that this router sent there, the latest last.
+    :param epoch: history of the store in which ``server`` was listed.
     """
 
     server: BackendServer
@@ -135,6 +138,7 @@
     slowness: float = 1.0
     slowness_sampled_s: float = 0.0
     sent_parts: OrderedDict[PartId, None] = field(default_factory=OrderedDict)
+    epoch: StoreEpoch | None = None
 
     @property
     def total_requests(self) -> float:
@@ -368,6 +372,14 @@
             )
 
 
+@dataclass(frozen=True, slots=True)
+class _ListedServer:
+    """A server as the store lists it, and the history of the store that this is of."""
+
+    server: BackendServer
+    epoch: StoreEpoch | None
+
+
 class ServerTable:
     """Records of all listed backend servers, with an index by pool.
 
@@ -376,6 +388,7 @@
 
     :param load_estimator: registered name of the estimator of other routers' requests.
     :param read_clock: monotonic clock, in seconds.
+    :ivar leavings: servers that left.
     """
 
     def __init__(
@@ -387,42 +400,112 @@
         self._read_clock = read_clock
         self._records_by_hash: dict[NameHash, ServerRecord] = {}
         self.records: dict[InstanceId, ServerRecord] = {}
+        self.leavings = make_server_leavings(read_clock)
+        self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._digest = 0
         self._is_index_current = False
 
-    def put(self, server: BackendServer) -> None:
+    def put(self, server: BackendServer, epoch: StoreEpoch | None = None) -> None:
         """Add a server, or update its entry.
 
         :param server: the server. A changed start time, address or pool means that it
             restarted without its state, so its record starts afresh.
+        :param epoch: history of the store in which it is listed; ``None`` if unknown.
         """
+        listed = self._listed.get(server.server_id)
+        if listed is None or listed.server != server:
+            self._is_index_current = False
+        self._listed[server.server_id] = _ListedServer(server, epoch)
+        if self._is_superseded(server, epoch):
+            return
+        if not server.is_ready:
+            self.leavings.record(server, epoch)
+        elif not self.leavings.is_bound(server, epoch):
+            self.leavings.forget(server.server_id)
+        self._update_record(server.server_id)
+
+    def _is_superseded(self, server: BackendServer, epoch: StoreEpoch | None) -> bool:
+        """Return whether a later start of the server was listed in another history."""
         record = self.records.get(server.server_id)
-        if record is not None and record.server == server:
+        return (
+            record is not None
+            and epoch != record.epoch
+            and 0 < server.started_at_ms < record.server.started_at_ms
+        )
+
+    def _update_record(self, server_id: InstanceId) -> None:
+        """Update a server's record from its entry and from what is known of it."""
+        server, epoch = self._listed[server_id].server, self._listed[server_id].epoch
+        if self._is_superseded(server, epoch):
             return
+        reason = None
+        if server.is_ready and self.leavings.is_bound(server, epoch):
+            server = replace(server, is_ready=False)
+            reason = "it left before the store was restored"
+        record = self.records.get(server_id)
+        is_changed = record is None or record.server != server
         if record is None or _is_restarted(record.server, server):
-            self.records[server.server_id] = ServerRecord(server, self._read_clock())
-        else:
-            record.server = server
+            record = ServerRecord(server, self._read_clock())
+            self.records[server_id] = record
+        record.server, record.epoch = server, epoch
+        if not is_changed:
+            return
+        details = {} if reason is None else {"reason": reason}
         log_event(
             "backend_state",
-            server=server.server_id,
+            server=server_id,
             pool=server.pool,
             address=f"{server.host}:{server.port}",
             is_ready=server.is_ready,
+            **details,
         )
         self._is_index_current = False
 
-    def remove(self, server_id: InstanceId, reason: str) -> None:
+    def remove(
+        self,
+        server_id: InstanceId,
+        reason: str,
+        left_in: StoreEpoch | None = None,
+    ) -> None:
         """Remove a server.
 
         :param server_id: its id; an unknown one is ignored.
         :param reason: why it is removed, for the log.
+        :param left_in: history of the store in which it left; ``None`` if that is
+            unknown, or if it is removed for another reason.
         """
-        if self.records.pop(server_id, None) is not None:
-            log_event("backend_state", server=server_id, is_ready=False, reason=reason)
-            self._is_index_current = False
+        self._listed.pop(server_id, None)
+        record = self.records.pop(server_id, None)
+        if record is None:
+            return
+        if left_in is not None:
+            self.leavings.record(record.server, left_in)
+        log_event("backend_state", server=server_id, is_ready=False, reason=reason)
+        self._is_index_current = False
+
+    def merge_leavings(self, reports: Iterable[LeavingReport]) -> None:
+        """Add the leavings of servers that another router reports.
+
+        :param reports: leavings that it knows.
+        """
+        self._update_records(self.leavings.merge(reports))
+
+    def expire_leavings(self) -> bool:
+        """Let servers return whose leavings were not confirmed for long.
+
+        :returns: whether there were any.
+        """
+        expired = self.leavings.remove_expired()
+        self._update_records(expired)
+        return bool(expired)
+
+    def _update_records(self, names: Iterable[NameHash]) -> None:
+        for name in names:
+            record = self.find_by_hash(name)
+            if record is not None:
+                self._update_record(record.server.server_id)
 
     def _rebuild_index(self) -> None:
         """Rebuild the index by pool if any server changed since the last call."""
@@ -433,7 +516,7 @@
         self._records_by_hash = {
             hash_name(server_id): record for server_id, record in self.records.items()
         }
-        servers = sorted(str(record.server) for record in self.records.values())
+        servers = sorted(str(listed.server) for listed in self._listed.values())
         self._digest = xxhash.xxh3_64_intdigest("\n".join(servers).encode())
         for record in self.records.values():
             self._all_by_pool.setdefault(record.server.pool, []).append(record)
--- /dev/null
+++ b/bilberryspring/process/tests/test_server_leavings.py
@@ -0,0 +1,99 @@
+"""Record of the servers that left, its bounds and what routers report of it."""
+
+import sys
+from dataclasses import replace
+
+from bilberryspring.connection.load_messages import hash_name
+from bilberryspring.connection.router_reports import MAX_LEAVINGS, LeavingReport
+from bilberryspring.identifiers import StoreEpoch
+from bilberryspring.process import server_leavings
+from bilberryspring.process.server_leavings import (
+    LEAVING_LIFETIME_S,
+    REPORTED_LIFETIME_S,
+    make_server_leavings,
+)
+from bilberryspring.request.tests.relay_fixtures import make_server
+
+FORMER, PRESENT = StoreEpoch(1), StoreEpoch(2)
+# Memory that a router may spend on the record.
+MAX_BYTES = 1_000_000
+
+
+class Clock:
+    now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def make_leaving_server(name="a", number=7):
+    return replace(make_server(name), report_number=number)
+
+
+def test_ten_thousand_leavings_take_bounded_memory_and_reports():
+    leavings = make_server_leavings(Clock())
+    for number in range(10_000):
+        leavings.record(make_leaving_server(f"s{number}"), FORMER)
+    assert len(leavings) == server_leavings.MAX_LEAVINGS
+    size_bytes = sys.getsizeof(leavings._leavings) + sum(
+        sys.getsizeof(name) + sys.getsizeof(leaving) + sys.getsizeof(leaving.learnt_s)
+        for name, leaving in leavings._leavings.items()
+    )
+    assert size_bytes <= MAX_BYTES
+    assert leavings.is_bound(make_leaving_server("s9999"), PRESENT)
+    assert not leavings.is_bound(make_leaving_server("s0"), PRESENT)
+    assert len(leavings.list_reports(MAX_LEAVINGS, PRESENT)) == MAX_LEAVINGS
+
+
+def test_every_leaving_is_reported_the_newest_first():
+    leavings = make_server_leavings(Clock())
+    for number in range(10):
+        leavings.record(make_leaving_server(f"s{number}"), FORMER)
+    sent = []
+    for _ in range(5):
+        sent += [each.server for each in leavings.list_reports(2, PRESENT)]
+    assert sent == [hash_name(f"s{number}") for number in range(9, -1, -1)]
+    assert leavings.list_reports(1, PRESENT)[0].server == hash_name("s9")
+
+
+def test_leavings_of_the_present_history_are_not_reported():
+    leavings = make_server_leavings(Clock())
+    leavings.record(make_leaving_server(), PRESENT)
+    assert leavings.list_reports(MAX_LEAVINGS, PRESENT) == ()
+    assert leavings.list_reports(MAX_LEAVINGS, None) == ()
+
+
+def test_reports_among_routers_keep_no_leaving_alive():
+    clock = Clock()
+    first, second = make_server_leavings(clock), make_server_leavings(clock)
+    first.record(make_leaving_server(), FORMER)
+    for _ in range(400):
+        clock.now_s += 0.25
+        for sender, receiver in ((first, second), (second, first)):
+            receiver.merge(sender.list_reports(MAX_LEAVINGS, PRESENT))
+            receiver.remove_expired()
+    assert not len(first) and not len(second)
+
+
+def test_leaving_is_bound_for_its_time_only():
+    clock = Clock()
+    own, heard = make_server_leavings(clock), make_server_leavings(clock)
+    server = make_leaving_server()
+    own.record(server, FORMER)
+    heard.merge(own.list_reports(1, PRESENT))
+    assert own.is_bound(server, PRESENT) and heard.is_bound(server, PRESENT)
+    clock.now_s += REPORTED_LIFETIME_S
+    assert own.is_bound(server, PRESENT) and not heard.is_bound(server, PRESENT)
+    clock.now_s += LEAVING_LIFETIME_S - REPORTED_LIFETIME_S
+    assert not own.is_bound(server, PRESENT)
+
+
+def test_own_observation_is_not_replaced_by_an_older_report():
+    clock = Clock()
+    leavings = make_server_leavings(clock)
+    leavings.record(make_leaving_server(number=9), FORMER)
+    older = LeavingReport(hash_name("a"), 1, 8, FORMER, 1.0)
+    assert leavings.merge([older]) == []
+    assert leavings.is_bound(make_leaving_server(number=9), PRESENT)
+    later = LeavingReport(hash_name("a"), 2, 0, FORMER, 1.0)
+    assert leavings.merge([later]) == [hash_name("a")]
