Leave servers that the store lists no more out of the list's digest

Cause: the digest covered the servers that a router keeps, not those that are listed; the age covers the latter. It is older than the restorations: it acts after any outage in which entries lapse. Now the watcher says that an entry is gone, and the digest leaves the server out while its record is kept.

--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -255,6 +255,7 @@
         )
         if self._store_recovered_s and time.monotonic() < deadline_s:
             self._removal_deadlines_s.setdefault(server_id, deadline_s)
+            self._servers.mark_unlisted(server_id)
         else:
             self._servers.remove(server_id, "its entry was removed", self.store_epoch)
 
--- a/bilberryspring/platform/tests/test_leavings_after_restoration.py
+++ b/bilberryspring/platform/tests/test_leavings_after_restoration.py
@@ -161,3 +161,20 @@
     await wait_for(lambda: is_ready(harness))
     harness.servers.merge_leavings([report])
     assert is_ready(harness)
+
+
+async def test_router_that_keeps_a_missing_server_confirms_no_list_with_it(harness):
+    store = harness.store
+    await store.put("servers/s1", READY)
+    await store.put("servers/s2", READY)
+    await wait_for(lambda: is_ready(harness, "s2"))
+    former_digest = harness.servers.digest
+    await restore(harness, store.copy())
+    await store.put("servers/s1", None)
+    await wait_for(lambda: "s1" not in harness.server_watcher.entries)
+    assert harness.is_listed()
+    assert harness.servers.digest != former_digest
+    expected = make_server_table()
+    entry = make_snapshot_entry("s2", READY)
+    expected.put(decode_server("s2", entry.value))
+    assert harness.servers.digest == expected.digest
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -426,6 +426,14 @@
             self.leavings.forget(server.server_id)
         self._update_record(server.server_id)
 
+    def mark_unlisted(self, server_id: InstanceId) -> None:
+        """Record that the store lists a server no more; its record is kept for now.
+
+        :param server_id: its id; an unknown one is ignored.
+        """
+        if self._listed.pop(server_id, None) is not None:
+            self._is_index_current = False
+
     def _is_superseded(self, server: BackendServer, epoch: StoreEpoch | None) -> bool:
         """Return whether a later start of the server was listed in another history."""
         record = self.records.get(server.server_id)
@@ -504,7 +512,7 @@
     def _update_records(self, names: Iterable[NameHash]) -> None:
         for name in names:
             record = self.find_by_hash(name)
-            if record is not None:
+            if record is not None and record.server.server_id in self._listed:
                 self._update_record(record.server.server_id)
 
     def _rebuild_index(self) -> None:
