--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -131,7 +131,8 @@
         self._record_epoch(epoch)
         self._has_peer_entries = True
         self._replace_all(
-            StoreItem(entry.key, entry.value, entry.position) for entry in entries
+            (StoreItem(entry.key, entry.value, entry.position) for entry in entries),
+            is_from_router=True,
         )
 
     async def run(self) -> None:
@@ -216,11 +217,13 @@
         self._record_epoch(listing.position.epoch)
         self._replace_all(listing.items)
 
-    def _replace_all(self, items: Iterable[StoreItem]) -> None:
+    def _replace_all(
+        self, items: Iterable[StoreItem], is_from_router: bool = False
+    ) -> None:
         listed_ids = set()
         for item in items:
             listed_ids.add(_parse_server_id(item.key))
-            self._apply_change(item)
+            self._apply_change(item, is_from_router)
         for server_id in [
             known_id for known_id in self.entries if known_id not in listed_ids
         ]:
@@ -231,7 +234,7 @@
             self._handle_missing_entry(server_id)
         self._on_change()
 
-    def _apply_change(self, item: StoreItem) -> None:
+    def _apply_change(self, item: StoreItem, is_from_router: bool = False) -> None:
         server_id = _parse_server_id(item.key)
         if item.value is None:
             self.entries.pop(server_id, None)
@@ -244,7 +247,7 @@
                 log_event("update_refused", level="WARNING", reason=server.reason)
                 self._servers.remove(server_id, server.reason)
             else:
-                self._servers.put(server, self.store_epoch)
+                self._servers.put(server, self.store_epoch, is_from_router)
         self._on_change()
 
     def _handle_missing_entry(self, server_id: InstanceId) -> None:
--- a/bilberryspring/platform/tests/test_leavings_after_restoration.py
+++ b/bilberryspring/platform/tests/test_leavings_after_restoration.py
@@ -6,6 +6,7 @@
 import asyncio
 
 import pytest
+from aiohttp import web
 
 from bilberryspring.connection.load_messages import hash_name
 from bilberryspring.connection.router_reports import LeavingReport
@@ -178,3 +179,20 @@
     entry = make_snapshot_entry("s2", READY)
     expected.put(decode_server("s2", entry.value))
     assert harness.servers.digest == expected.digest
+
+
+@pytest.mark.parametrize("how", ["draining", "removed"])
+async def test_snapshot_confirmed_by_a_late_response_brings_no_server_back(
+    harness, how
+):
+    await leave(harness, how)
+    watcher = harness.server_watcher
+    harness.store.fault = lambda request: web.Response(status=503)
+    await wait_for(lambda: watcher.age_s > 0.1)
+    entries = [make_snapshot_entry(name, READY) for name in ("s1", "s2")]
+    watcher.apply_peer_entries(entries, 0.0, StoreEpoch(1))
+    assert not is_ready(harness) and is_ready(harness, "s2")
+    await wait_for(lambda: watcher.age_s > 0.1)
+    entries[0] = make_snapshot_entry("s1", {**READY, "seq": 13})
+    watcher.apply_peer_entries(entries, 0.0, StoreEpoch(1))
+    assert is_ready(harness)
--- a/bilberryspring/process/server_leavings.py
+++ b/bilberryspring/process/server_leavings.py
@@ -3,7 +3,8 @@
 A metadata store that was restored from a copy lists servers as ready that had left
 before. Within one history the order of the store decides. An entry of another history
 has to show that the server wrote it after it left: by a later start, or by a higher
-number of its report.
+number of its report. So has an entry in another router's list, which a late response of
+the store may have made look more recent than it is.
 """
 
 import time
@@ -122,7 +123,12 @@
             news.append(report.server)
         return news
 
-    def is_bound(self, server: BackendServer, epoch: StoreEpoch | None) -> bool:
+    def is_bound(
+        self,
+        server: BackendServer,
+        epoch: StoreEpoch | None,
+        is_from_router: bool = False,
+    ) -> bool:
         """Return whether a server that is listed as ready has left nevertheless.
 
         An entry without a start time or a report number can't show that it is later
@@ -130,9 +136,13 @@
 
         :param server: the server as it is listed.
         :param epoch: history of the store that the list is of.
+        :param is_from_router: whether another router sent the list.
         """
         known = self._find(hash_name(server.server_id))
-        if known is None or epoch == known.epoch:
+        if known is None:
+            return False
+        is_ordered = not is_from_router or known.report_number == 0
+        if epoch == known.epoch and is_ordered:
             return False
         return (server.started_at_ms, server.report_number) <= (
             known.started_at_ms,
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -374,10 +374,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _ListedServer:
-    """A server as the store lists it, and the history of the store that this is of."""
+    """A server as the store lists it.
+
+    :param server: the server.
+    :param epoch: history of the store that the list is of; ``None`` if unknown.
+    :param is_from_router: whether another router sent the list.
+    """
 
     server: BackendServer
     epoch: StoreEpoch | None
+    is_from_router: bool
 
 
 class ServerTable:
@@ -407,22 +413,28 @@
         self._digest = 0
         self._is_index_current = False
 
-    def put(self, server: BackendServer, epoch: StoreEpoch | None = None) -> None:
+    def put(
+        self,
+        server: BackendServer,
+        epoch: StoreEpoch | None = None,
+        is_from_router: bool = False,
+    ) -> None:
         """Add a server, or update its entry.
 
         :param server: the server. A changed start time, address or pool means that it
             restarted without its state, so its record starts afresh.
         :param epoch: history of the store in which it is listed; ``None`` if unknown.
+        :param is_from_router: whether another router sent the list.
         """
         listed = self._listed.get(server.server_id)
         if listed is None or listed.server != server:
             self._is_index_current = False
-        self._listed[server.server_id] = _ListedServer(server, epoch)
+        self._listed[server.server_id] = _ListedServer(server, epoch, is_from_router)
         if self._is_superseded(server, epoch):
             return
         if not server.is_ready:
             self.leavings.record(server, epoch)
-        elif not self.leavings.is_bound(server, epoch):
+        elif not self.leavings.is_bound(server, epoch, is_from_router):
             self.leavings.forget(server.server_id)
         self._update_record(server.server_id)
 
@@ -445,13 +457,16 @@
 
     def _update_record(self, server_id: InstanceId) -> None:
         """Update a server's record from its entry and from what is known of it."""
-        server, epoch = self._listed[server_id].server, self._listed[server_id].epoch
+        listed = self._listed[server_id]
+        server, epoch = listed.server, listed.epoch
         if self._is_superseded(server, epoch):
             return
         reason = None
-        if server.is_ready and self.leavings.is_bound(server, epoch):
+        if server.is_ready and self.leavings.is_bound(
+            server, epoch, listed.is_from_router
+        ):
             server = replace(server, is_ready=False)
-            reason = "it left before the store was restored"
+            reason = "it left later than the list that names it was read"
         record = self.records.get(server_id)
         is_changed = record is None or record.server != server
         if record is None or _is_restarted(record.server, server):
