Send no new requests to a server that states in a response that it leaves

Callers: requests that were sent to a leaving server until the store listed it as leaving, which may take minutes or, for servers that never report it, until their entry is gone.

Change: the header is decoded with the response head (any status but 421, which another server at that address sends; "0" means no, other values are counted as unreadable). From that response on the server is not ready here: new requests, and those that wait in the dispatcher, go elsewhere; requests that it has go on. It is held against every list until an entry of a later start, for 600 s at most since its latest such response. A late response of a former start doesn't hold the restarted server. Routers pass the statement on for 30 s with the other leavings; one that only heard of it holds it for that time at most, and ends it as soon as the store has a later report of the server that says it is ready.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -65,6 +65,8 @@
         could not be decoded.
     :param is_close_delimited: whether the body ends with its connection, so that its
         end does not show that it is complete.
+    :param is_leaving: whether the server states that it leaves: it wants no new
+        requests and completes those that it has.
     """
 
     status: int
@@ -73,6 +75,7 @@
     is_verified: bool
     load: ServerLoad | None
     is_close_delimited: bool = False
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -95,7 +95,11 @@
                 load = self._decode_or_record(
                     "server_load", head.find_header(wire.SERVER_LOAD), _decode_load
                 )
-                return _decode_response_head(head, load)
+                leaving = head.find_header(wire.SERVER_LEAVING)
+                is_leaving = self._decode_or_record(
+                    "server_leaving", leaving, _decode_leaving
+                )
+                return _decode_response_head(head, load, bool(is_leaving))
 
     def _decode_or_record(self, name: str, value: bytes | None, decode):
         """Decode a header, recording a value that cannot be decoded.
@@ -275,7 +279,7 @@
 
 
 def _decode_response_head(
-    head: ResponseHead, load: ServerLoad | None
+    head: ResponseHead, load: ServerLoad | None, is_leaving: bool
 ) -> BackendResponseHead:
     has_coding = head.find_header(b"content-encoding") is not None
     return BackendResponseHead(
@@ -291,6 +295,8 @@
         is_verified=head.find_header(wire.RESPONSE_SEAL) is not None and not has_coding,
         load=load,
         is_close_delimited=not head.is_self_delimited,
+        # Another server sends this status at the address of the one that was called.
+        is_leaving=is_leaving and head.status != MISDIRECTED_STATUS,
     )
 
 
@@ -321,6 +327,17 @@
     return ServerLoad(running, waiting, slots, percent / USUAL_WORK_TIME_PERCENT)
 
 
+def _decode_leaving(value: bytes) -> bool | Failure:
+    """Decode whether a server leaves.
+
+    >>> _decode_leaving(b"1"), _decode_leaving(b"0")
+    (True, False)
+    """
+    if value not in (b"0", b"1"):
+        return _make_decode_failure("neither 0 nor 1")
+    return value == b"1"
+
+
 def _decode_keep_alive_s(value: bytes) -> float | None | Failure:
     """Decode a server's keep-alive timeout in seconds, ``None`` if it states none.
 
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -410,3 +410,21 @@
         await asyncio.sleep(0.4)
         calls.close()
     assert all(body == b"x" * len(body) for body in received)
+
+
+@pytest.mark.parametrize(
+    "status, value, is_leaving",
+    [
+        ("200 OK", "1", True),
+        ("503 Unavailable", "1", True),
+        ("500 Error", "1", True),
+        ("421 Misdirected", "1", False),
+        ("200 OK", "0", False),
+        ("200 OK", "yes", False),
+    ],
+)
+async def test_leaving_that_a_server_states_is_read(start, status, value, is_leaving):
+    response = make_response("a", f"Server-Leaving: {value}\r\n")
+    scripted_server = ScriptedServer(response.replace("200 OK", status))
+    server, calls = await start(scripted_server)
+    assert (await send_request(calls, server, "a")).is_leaving is is_leaving
--- a/bilberryspring/platform/tests/test_leavings_after_restoration.py
+++ b/bilberryspring/platform/tests/test_leavings_after_restoration.py
@@ -19,6 +19,7 @@
     wait_for,
 )
 from bilberryspring.process import server_leavings
+from bilberryspring.process.server_leavings import LeavingSource
 from bilberryspring.process.server_table import make_server_table
 
 READY = {**SERVER_ENTRY, "seq": 10}
@@ -110,7 +111,7 @@
     copy = await leave(harness, "removed")
     await restore(harness, copy)
     assert not is_ready(harness)
-    monkeypatch.setattr(server_leavings, "LEAVING_LIFETIME_S", 0.1)
+    monkeypatch.setitem(server_leavings._LIFETIMES_S, LeavingSource.STORE, 0.1)
     await wait_for(lambda: is_ready(harness))
 
 
--- a/bilberryspring/platform/wire_names.py
+++ b/bilberryspring/platform/wire_names.py
@@ -14,6 +14,7 @@
     "PROMPT_PREFIX",
     "REQUEST_PRIORITY",
     "RESPONSE_SEAL",
+    "SERVER_LEAVING",
     "SERVER_LOAD",
     "STORE_EPOCH",
     "TENANT",
@@ -31,6 +32,8 @@
 # not used.
 NOT_EXECUTED = b"not-executed"
 PROMPT_PREFIX = b"prompt-prefix"
+# ``1`` in all responses of a server that leaves.
+SERVER_LEAVING = b"server-leaving"
 # Three integers: running requests, queued requests and request slots.
 SERVER_LOAD = b"replica-load"
 # Proof that the server itself produced the response body.
--- a/bilberryspring/process/server_leavings.py
+++ b/bilberryspring/process/server_leavings.py
@@ -27,6 +27,8 @@
 
 # A server that leaves exits within this time, and its entry then lapses.
 LEAVING_LIFETIME_S = 60.0
+# The store may list a server as ready for minutes after it stated that it leaves.
+STATEMENT_LIFETIME_S = 600.0
 # A leaving that another router reported is held, and passed on, up to this age.
 REPORTED_LIFETIME_S = 30.0
 # More servers than the largest fleet has; about 250 bytes each.
@@ -47,7 +49,8 @@
 
     :param started_at_ms: start of the server that left, as Unix time in milliseconds.
     :param report_number: number of its last report that was read; zero if unknown.
-    :param epoch: history of the store in which it left; ``None`` if unknown.
+    :param epoch: history of the store in which it left; ``None`` if unknown, or if the
+        store did not say so.
     :param learnt_s: monotonic time at which the first router learnt it.
     :param source: who said so.
     :param sent_count: number of reports that it was put into.
@@ -84,6 +87,8 @@
         started_at_ms, number = server.started_at_ms, server.report_number
         known = self._leavings.get(name)
         if known is not None:
+            if _is_stated(known) and started_at_ms <= known.started_at_ms:
+                return
             started_at_ms, number = max(
                 (started_at_ms, number), (known.started_at_ms, known.report_number)
             )
@@ -94,6 +99,38 @@
             ),
         )
 
+    def record_statement(self, server: BackendServer) -> None:
+        """Record that a server stated in a response that it leaves.
+
+        :param server: the server that the request was sent to.
+        """
+        name = hash_name(server.server_id)
+        known = self._leavings.get(name)
+        if known is not None:
+            if server.started_at_ms < known.started_at_ms:
+                return
+            if _is_stated(known) and server.started_at_ms == known.started_at_ms:
+                known.learnt_s = self._read_clock()
+                return
+        self._put(
+            name,
+            ServerLeaving(
+                server.started_at_ms,
+                server.report_number,
+                None,
+                self._read_clock(),
+                LeavingSource.SERVER,
+            ),
+        )
+
+    def get_source(self, server_id: InstanceId) -> LeavingSource:
+        """Return who said that a server leaves.
+
+        :param server_id: its id.
+        :raises KeyError: if no leaving of it is known.
+        """
+        return self._leavings[hash_name(server_id)].source
+
     def merge(self, reports: Iterable[LeavingReport]) -> list[NameHash]:
         """Add what another router reports.
 
@@ -108,7 +145,12 @@
                 known.started_at_ms,
                 known.report_number,
             ) >= (report.started_at_ms, report.report_number)
-            if is_known or report.age_s >= REPORTED_LIFETIME_S:
+            is_stated = (
+                known is not None
+                and _is_stated(known)
+                and report.started_at_ms <= known.started_at_ms
+            )
+            if is_known or is_stated or report.age_s >= REPORTED_LIFETIME_S:
                 continue
             self._put(
                 report.server,
@@ -141,6 +183,8 @@
         known = self._find(hash_name(server.server_id))
         if known is None:
             return False
+        if _is_stated(known):
+            return server.started_at_ms <= known.started_at_ms
         is_ordered = not is_from_router or known.report_number == 0
         if epoch == known.epoch and is_ordered:
             return False
@@ -172,20 +216,16 @@
         """Return the leavings that were reported least often, the newest first.
 
         Routers learn from the store what happened in its present history. Leavings of
-        a former one are repeated, for routers that were cut off meanwhile.
+        a former one, and those that servers stated themselves, are repeated.
 
         :param count: maximum number of leavings.
         :param epoch: present history of the store, as far as it is known.
         """
-        if epoch is None or not self._leavings:
-            return ()
         now_s = self._read_clock()
         needed = [
             (name, known)
             for name, known in reversed(self._leavings.items())
-            if known.epoch is not None
-            and known.epoch < epoch
-            and now_s - known.learnt_s < REPORTED_LIFETIME_S
+            if _is_needed(known, epoch) and now_s - known.learnt_s < REPORTED_LIFETIME_S
         ]
         needed.sort(key=lambda each: each[1].sent_count)
         for _, known in needed[:count]:
@@ -214,10 +254,26 @@
             self._leavings.popitem(last=False)
 
 
+_LIFETIMES_S = {
+    LeavingSource.STORE: LEAVING_LIFETIME_S,
+    LeavingSource.SERVER: STATEMENT_LIFETIME_S,
+    LeavingSource.ROUTER: REPORTED_LIFETIME_S,
+}
+
+
 def _is_over(leaving: ServerLeaving, now_s: float) -> bool:
-    is_reported = leaving.source is LeavingSource.ROUTER
-    lifetime_s = REPORTED_LIFETIME_S if is_reported else LEAVING_LIFETIME_S
-    return now_s - leaving.learnt_s >= lifetime_s
+    return now_s - leaving.learnt_s >= _LIFETIMES_S[leaving.source]
+
+
+def _is_stated(leaving: ServerLeaving) -> bool:
+    return leaving.source is LeavingSource.SERVER
+
+
+def _is_needed(leaving: ServerLeaving, epoch: StoreEpoch | None) -> bool:
+    """Return whether other routers can't learn a leaving from the store now."""
+    if leaving.epoch is None:
+        return leaving.source is not LeavingSource.STORE
+    return epoch is not None and leaving.epoch < epoch
 
 
 def make_server_leavings(
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -20,7 +20,10 @@
     predict_work_time_ratio,
 )
 from bilberryspring.process.logs import log_event
-from bilberryspring.process.server_leavings import make_server_leavings
+from bilberryspring.process.server_leavings import (
+    LeavingSource,
+    make_server_leavings,
+)
 
 __all__ = [
     "LoadStatement",
@@ -372,6 +375,13 @@
             )
 
 
+_BOUND_REASONS = {
+    LeavingSource.STORE: "it left later than the list that names it was read",
+    LeavingSource.SERVER: "it stated that it leaves",
+    LeavingSource.ROUTER: "another router reported that it leaves",
+}
+
+
 @dataclass(frozen=True, slots=True)
 class _ListedServer:
     """A server as the store lists it.
@@ -466,7 +476,7 @@
             server, epoch, listed.is_from_router
         ):
             server = replace(server, is_ready=False)
-            reason = "it left later than the list that names it was read"
+            reason = _BOUND_REASONS[self.leavings.get_source(server_id)]
         record = self.records.get(server_id)
         is_changed = record is None or record.server != server
         if record is None or _is_restarted(record.server, server):
@@ -508,6 +518,14 @@
         log_event("backend_state", server=server_id, is_ready=False, reason=reason)
         self._is_index_current = False
 
+    def record_statement_of_leaving(self, record: ServerRecord) -> None:
+        """Send a server no new requests, since it stated in a response that it leaves.
+
+        :param record: the server's record when the request was sent.
+        """
+        self.leavings.record_statement(record.server)
+        self._update_records([hash_name(record.server.server_id)])
+
     def merge_leavings(self, reports: Iterable[LeavingReport]) -> None:
         """Add the leavings of servers that another router reports.
 
--- a/bilberryspring/process/tests/test_server_leavings.py
+++ b/bilberryspring/process/tests/test_server_leavings.py
@@ -12,6 +12,7 @@
     REPORTED_LIFETIME_S,
     make_server_leavings,
 )
+from bilberryspring.process.server_table import make_server_table
 from bilberryspring.request.tests.relay_fixtures import make_server
 
 FORMER, PRESENT = StoreEpoch(1), StoreEpoch(2)
@@ -97,3 +98,47 @@
     assert leavings.is_bound(make_leaving_server(number=9), PRESENT)
     later = LeavingReport(hash_name("a"), 2, 0, FORMER, 1.0)
     assert leavings.merge([later]) == [hash_name("a")]
+
+
+def test_server_that_stated_its_leaving_is_held_while_the_store_lists_it_as_ready():
+    table = make_server_table(read_clock=Clock())
+    table.put(make_leaving_server(number=7), PRESENT)
+    running = table.records["a"]
+    table.record_statement_of_leaving(running)
+    assert table.records["a"] is running
+    for number in (8, 9):
+        table.put(make_leaving_server(number=number), PRESENT)
+        assert not table.list_ready("desk")
+    table.put(replace(make_leaving_server(number=10), is_ready=False), PRESENT)
+    table.put(make_leaving_server(number=11), PRESENT)
+    assert not table.list_ready("desk")
+    table.put(replace(make_leaving_server(number=1), started_at_ms=2), PRESENT)
+    assert table.list_ready("desk")
+
+
+def test_late_response_of_the_former_start_does_not_hold_a_restarted_server():
+    table = make_server_table(read_clock=Clock())
+    table.put(make_leaving_server(), PRESENT)
+    former = table.records["a"]
+    table.put(replace(make_leaving_server(number=1), started_at_ms=2), PRESENT)
+    table.record_statement_of_leaving(former)
+    assert table.list_ready("desk")
+
+
+def test_stated_leaving_that_a_router_reports_ends_with_a_later_entry_of_the_store():
+    clock = Clock()
+    first, second = (make_server_table(read_clock=clock) for _ in range(2))
+    for table in (first, second):
+        table.put(make_leaving_server(number=7), PRESENT)
+    first.record_statement_of_leaving(first.records["a"])
+    reports = first.leavings.list_reports(MAX_LEAVINGS, PRESENT)
+    second.merge_leavings(reports)
+    assert not second.list_ready("desk")
+    assert second.digest == first.digest
+    second.put(make_leaving_server(number=8), PRESENT)
+    second.merge_leavings(reports)
+    assert second.list_ready("desk")
+    first.merge_leavings([replace(reports[0], report_number=99)])
+    clock.now_s += REPORTED_LIFETIME_S
+    assert not first.expire_leavings() and not first.list_ready("desk")
+    assert first.leavings.list_reports(MAX_LEAVINGS, PRESENT) == ()
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -447,6 +447,8 @@
         """Return why a response with this head is not relayed, ``None`` if it is."""
         record = reservation.record
         self._servers.update_server_load(record, head.load)
+        if head.is_leaving:
+            self._servers.record_statement_of_leaving(record)
         if head.was_not_run:
             return make_failure(
                 ErrorKind.OVERLOADED,
