--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -46,6 +46,7 @@
 MAX_SLOTS = 2**31 - 1
 # Larger integers have no exact floating-point number.
 MAX_INTEGER = 2**53
+MAX_REPORT_NUMBER = 2**32 - 1
 
 
 def decode_routing_table(
@@ -166,7 +167,8 @@
             availability_zone=AvailabilityZone(_require_text(entry, "zone")),
             slots=require_int(entry["slots"], "slots", 1, MAX_SLOTS),
             is_ready=_READINESS_BY_STATE[entry["state"]],
-            started_at_ms=_read_start_time(entry),
+            started_at_ms=_read_count(entry, "born", MAX_INTEGER),
+            report_number=_read_count(entry, "seq", MAX_REPORT_NUMBER),
         )
     except MALFORMED_ERRORS as error:
         reason = (
@@ -175,10 +177,10 @@
         return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
 
 
-def _read_start_time(entry: Mapping) -> int:
-    """Return the time of a server's start; zero if the entry states no sound one."""
+def _read_count(entry: Mapping, name: str, highest: int) -> int:
+    """Return a number of an entry; zero if the entry states no sound one."""
     try:
-        return require_int(entry.get("born"), "born", 0, MAX_INTEGER)
+        return require_int(entry.get(name), name, 0, highest)
     except ValueError:
         return 0
 
--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -133,7 +133,8 @@
         self._record_epoch(epoch)
         self._has_peer_entries = True
         self._replace_all(
-            StoreItem(entry.key, entry.value, entry.position) for entry in entries
+            (StoreItem(entry.key, entry.value, entry.position) for entry in entries),
+            is_from_router=True,
         )
 
     async def run(self) -> None:
@@ -184,6 +185,8 @@
             self._detect_process_pause()
             self._last_check_s = time.monotonic()
             self.remove_expired(self._last_check_s)
+            if self._servers.expire_leavings():
+                self._on_change()
 
     def _detect_process_pause(self) -> None:
         """Detect a pause of this process, which must not count as a store outage."""
@@ -200,7 +203,9 @@
             if now_s >= deadline_s:
                 del self._removal_deadlines_s[server_id]
                 self._servers.remove(
-                    server_id, "its expired entry was not written again"
+                    server_id,
+                    "its expired entry was not written again",
+                    self.store_epoch,
                 )
                 self._on_change()
 
@@ -214,11 +219,13 @@
         self._record_epoch(listing.position.epoch)
         self._replace_all(listing.items)
 
-    def _replace_all(self, items: Iterable[StoreItem]) -> None:
+    def _replace_all(
+        self, items: Iterable[StoreItem], is_from_router: bool = False
+    ) -> None:
         listed_ids = set()
         for item in items:
             listed_ids.add(_parse_server_id(item.key))
-            self._apply_change(item)
+            self._apply_change(item, is_from_router)
         for server_id in [
             known_id for known_id in self.entries if known_id not in listed_ids
         ]:
@@ -229,7 +236,7 @@
             self._handle_missing_entry(server_id)
         self._on_change()
 
-    def _apply_change(self, item: StoreItem) -> None:
+    def _apply_change(self, item: StoreItem, is_from_router: bool = False) -> None:
         server_id = _parse_server_id(item.key)
         if item.value is None:
             self._forget_entry(server_id)
@@ -244,7 +251,7 @@
                 self.entries[server_id] = SnapshotEntry(
                     item.key, item.value, item.position
                 )
-                self._servers.put(server)
+                self._servers.put(server, self.store_epoch, is_from_router)
         self._on_change()
 
     def _refuse_entry(
@@ -275,8 +282,9 @@
         )
         if self._store_recovered_s and time.monotonic() < deadline_s:
             self._removal_deadlines_s.setdefault(server_id, deadline_s)
+            self._servers.mark_unlisted(server_id)
         else:
-            self._servers.remove(server_id, "its entry was removed")
+            self._servers.remove(server_id, "its entry was removed", self.store_epoch)
 
 
 def _parse_server_id(key: str) -> InstanceId:
