--- a/bilberryspring/process/server_leavings.py
+++ b/bilberryspring/process/server_leavings.py
@@ -1,10 +1,11 @@
-"""Bounded record of backend servers that left, by which restored lists are checked.
+"""Bounded record of backend servers that left, against lists that name them as ready.
 
 A metadata store that was restored from a copy lists servers as ready that had left
 before. Within one history the order of the store decides. An entry of another history
 has to show that the server wrote it after it left: by a later start, or by a higher
 number of its report. So has an entry in another router's list, which a late response of
-the store may have made look more recent than it is.
+the store may have made look more recent than it is. What a server states of itself in a
+response goes before any list, until it starts again.
 """
 
 import time
@@ -51,7 +52,8 @@
     :param report_number: number of its last report that was read; zero if unknown.
     :param epoch: history of the store in which it left; ``None`` if unknown, or if the
         store did not say so.
-    :param learnt_s: monotonic time at which the first router learnt it.
+    :param learnt_s: monotonic time at which the first router learnt it, or at which it
+        was last confirmed here.
     :param source: who said so.
     :param sent_count: number of reports that it was put into.
     """
