Send no requests to a server before the time that it stated

What callers saw: a server that sheds load refuses with 503 and Retry-After, and went on getting requests of the router that it had told to wait. Nothing read the header. With one server in the pool, the caller was told to come back after the pool's mean service time, long before the server wanted requests.

Cause: a refusal with a time was handled as any refusal that was not run. Only the request that was refused went elsewhere; placement, repeats, replacements and the queue knew nothing of it.

Now the time is decoded at the platform's boundary (BackendResponseHead.pause_s) and kept in process/server_pauses.py, beside the record and beyond its entry in the list. The dispatcher, which every send passes, leaves the server out of its candidates, of the sources of caches, of the pool's overload and of predicted waits. It stays in the mean of the load bound. If no server of a pool wants requests, callers are refused at once with the time until the first one does. After the time a router sends one request, then one more for each that is accepted.

fleet_replay and ServerStandin gain switches for shedding, relay() of the fixtures takes a table. No existing test was changed.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -67,6 +67,8 @@
         end does not show that it is complete.
     :param is_leaving: whether the server states that it leaves: it wants no new
         requests and completes those that it has.
+    :param pause_s: time in seconds for which the server wants no requests of this
+        router; zero if it stated none.
     """
 
     status: int
@@ -76,6 +78,7 @@
     load: ServerLoad | None
     is_close_delimited: bool = False
     is_leaving: bool = False
+    pause_s: float = 0.0
 
     @property
     def is_success(self) -> bool:
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -1,6 +1,7 @@
 """Send requests to backend servers and decode their responses."""
 
 import asyncio
+import re
 from collections import deque
 
 from bilberryspring.capability.backend_calls import (
@@ -46,6 +47,10 @@
 # Load figures of more digits are not counts of requests.
 MAX_LOAD_DIGITS = 6
 USUAL_WORK_TIME_PERCENT = 100
+SHEDDING_STATUS = 503
+# Longest time for which a server can keep requests of this router away.
+MAX_PAUSE_S = 60.0
+_SECONDS_PATTERN = re.compile(rb"\d{1,9}(\.\d{0,30})?|\.\d{1,30}")
 
 
 class ServerExchange:
@@ -99,7 +104,37 @@
                 is_leaving = self._decode_or_record(
                     "server_leaving", leaving, _decode_leaving
                 )
-                return _decode_response_head(head, load, bool(is_leaving))
+                pause_s = self._read_pause_s(head)
+                return _decode_response_head(head, load, bool(is_leaving), pause_s)
+
+    def _read_pause_s(self, head: ResponseHead) -> float:
+        """Return for how long a server that sheds load wants no requests.
+
+        Of several different values, the longest readable one applies.
+        """
+        if head.status != SHEDDING_STATUS:
+            return 0.0
+        values = sorted(
+            {
+                value.strip()
+                for name, value in head.headers
+                if name.lower() == wire.RETRY_AFTER
+            }
+        )
+        decoded = {self._decode_or_record("pause", v, _decode_pause_s) for v in values}
+        pauses_s = decoded - {None}
+        pause_s = max(pauses_s, default=0.0)
+        if len(pauses_s) > 1:
+            self._record_unreadable("pause", b", ".join(values), "several values")
+        if pause_s > MAX_PAUSE_S:
+            reason = f"more than {MAX_PAUSE_S:.0f} s"
+            self._record_unreadable("pause", b", ".join(values), reason)
+        return min(pause_s, MAX_PAUSE_S)
+
+    def _record_unreadable(self, name: str, value: bytes, reason: str) -> None:
+        self._server_calls.unreadable_values.record(
+            name, self._server.server_id, value, reason
+        )
 
     def _decode_or_record(self, name: str, value: bytes | None, decode):
         """Decode a header, recording a value that cannot be decoded.
@@ -110,9 +145,7 @@
             return None
         decoded = decode(value)
         if isinstance(decoded, Failure):
-            self._server_calls.unreadable_values.record(
-                name, self._server.server_id, value, decoded.reason
-            )
+            self._record_unreadable(name, value, decoded.reason)
             return None
         return decoded
 
@@ -279,7 +312,7 @@
 
 
 def _decode_response_head(
-    head: ResponseHead, load: ServerLoad | None, is_leaving: bool
+    head: ResponseHead, load: ServerLoad | None, is_leaving: bool, pause_s: float
 ) -> BackendResponseHead:
     has_coding = head.find_header(b"content-encoding") is not None
     return BackendResponseHead(
@@ -297,6 +330,7 @@
         is_close_delimited=not head.is_self_delimited,
         # Another server sends this status at the address of the one that was called.
         is_leaving=is_leaving and head.status != MISDIRECTED_STATUS,
+        pause_s=pause_s,
     )
 
 
@@ -338,6 +372,17 @@
     return value == b"1"
 
 
+def _decode_pause_s(value: bytes) -> float | Failure:
+    """Decode a time in seconds, which may have a fraction.
+
+    >>> _decode_pause_s(b"1.5")
+    1.5
+    """
+    if _SECONDS_PATTERN.fullmatch(value) is None:
+        return _make_decode_failure("it is not a number of seconds")
+    return float(value)
+
+
 def _decode_keep_alive_s(value: bytes) -> float | None | Failure:
     """Decode a server's keep-alive timeout in seconds, ``None`` if it states none.
 
--- a/bilberryspring/platform/tests/platform_standin.py
+++ b/bilberryspring/platform/tests/platform_standin.py
@@ -257,6 +257,11 @@
     :param server_id: id of the server.
     :param event_count: number of events in a stream.
     :param delay_s: delay in seconds before each response or event.
+    :ivar refusal_headers: headers of the refusal that each request gets, such as the
+        time for which the server wants none; ``None`` to execute requests.
+    :ivar refusal_status: status of these refusals.
+    :ivar refused_at_s: loop times of the refusals.
+    :ivar executed_at_s: loop times at which the executed requests arrived.
     """
 
     def __init__(self, server_id="s1", event_count=3, delay_s=0.0):
@@ -264,6 +269,10 @@
         self.event_count = event_count
         self.delay_s = delay_s
         self.executed = []
+        self.executed_at_s = []
+        self.refusal_headers = None
+        self.refusal_status = 503
+        self.refused_at_s = []
         self._runner = None
         self.port = 9  # until it is started
 
@@ -300,7 +309,19 @@
             request_id = request.headers["Attempt-Id"]
             return web.Response(status=421, headers={"Attempt-Id": request_id})
         body = await request.read()
+        now_s = asyncio.get_running_loop().time()
+        if self.refusal_headers is not None:
+            self.refused_at_s.append(now_s)
+            return web.Response(
+                status=self.refusal_status,
+                headers={
+                    "Attempt-Id": request.headers["Attempt-Id"],
+                    "Not-Executed": "1",
+                    **self.refusal_headers,
+                },
+            )
         self.executed.append((request, body))
+        self.executed_at_s.append(now_s)
         headers = {
             "Attempt-Id": request.headers["Attempt-Id"],
             "Response-Seal": "seal",
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -428,3 +428,75 @@
     scripted_server = ScriptedServer(response.replace("200 OK", status))
     server, calls = await start(scripted_server)
     assert (await send_request(calls, server, "a")).is_leaving is is_leaving
+
+
+def make_refusal(*headers, status=503):
+    lines = "".join(f"Retry-After: {value}\r\n" for value in headers)
+    return (
+        f"HTTP/1.1 {status} No\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n"
+        f"{lines}Content-Length: 0\r\n\r\n"
+    )
+
+
+async def read_pause_s(start, refusal):
+    server, calls = await start(ScriptedServer(refusal))
+    head = await send_request(calls, server, "a")
+    return head.pause_s, calls.unreadable_values.counts
+
+
+@pytest.mark.parametrize(
+    ("values", "pause_s"),
+    [
+        ((), 0.0),
+        (("2",), 2.0),
+        (("0",), 0.0),
+        ((" 0.30000000000000004 ",), 0.30000000000000004),
+        ((".5",), 0.5),
+        (("1.5", "1.5"), 1.5),
+        (("60",), 60.0),
+    ],
+)
+async def test_time_for_which_a_server_wants_no_requests_is_decoded(
+    start, values, pause_s
+):
+    found_s, unreadable = await read_pause_s(start, make_refusal(*values))
+    assert found_s == pause_s
+    assert not unreadable
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "",
+        "-1",
+        "+1",
+        "nan",
+        "inf",
+        "1e3",
+        "1,5",
+        "soon",
+        "Fri, 04 Dec 2026 08:00:00 GMT",
+    ]
+    + ["9" * 10_000, "1." + "0" * 10_000, "\u00b2"],
+)
+async def test_unreadable_pause_is_counted_and_ignored(start, value):
+    found_s, unreadable = await read_pause_s(start, make_refusal(value))
+    assert found_s == 0.0
+    assert unreadable == {"pause": 1}
+
+
+@pytest.mark.parametrize(
+    ("values", "pause_s"),
+    [(("7200",), 60.0), (("1", "2.5"), 2.5), (("2.5", "1"), 2.5), (("soon", "1"), 1.0)],
+)
+async def test_doubtful_pause_is_counted_and_bounded(start, values, pause_s):
+    found_s, unreadable = await read_pause_s(start, make_refusal(*values))
+    assert found_s == pause_s
+    assert unreadable == {"pause": 1}
+
+
+@pytest.mark.parametrize("status", [200, 421, 429, 500])
+async def test_retry_after_of_another_status_is_no_pause(start, status):
+    found_s, unreadable = await read_pause_s(start, make_refusal("2", status=status))
+    assert found_s == 0.0
+    assert not unreadable
--- a/bilberryspring/platform/wire_names.py
+++ b/bilberryspring/platform/wire_names.py
@@ -14,6 +14,7 @@
     "PROMPT_PREFIX",
     "REQUEST_PRIORITY",
     "RESPONSE_SEAL",
+    "RETRY_AFTER",
     "SERVER_LEAVING",
     "SERVER_LOAD",
     "STORE_EPOCH",
@@ -38,6 +39,7 @@
 SERVER_LOAD = b"replica-load"
 # Proof that the server itself produced the response body.
 RESPONSE_SEAL = b"response-seal"
+RETRY_AFTER = b"retry-after"
 # Number of the store's history, which rises by one with each restoration.
 STORE_EPOCH = b"store-era"
 TENANT = b"tenant"
--- a/bilberryspring/policy/direct_placement.py
+++ b/bilberryspring/policy/direct_placement.py
@@ -101,7 +101,10 @@
 
 
 def choose_server(
-    policy: str, views: Sequence[ServerCandidate], load_factor: float
+    policy: str,
+    views: Sequence[ServerCandidate],
+    load_factor: float,
+    other_requests: Sequence[float] = (),
 ) -> ServerCandidate | None:
     """Choose among the servers whose load is within the load bound.
 
@@ -110,6 +113,8 @@
     :param policy: name of a registered placement policy.
     :param views: servers of the pool that can accept one more request.
     :param load_factor: load bound, as a multiple of the mean number of requests.
+    :param other_requests: requests at each server of the pool that accepts none now;
+        they count in the mean.
     :returns: the chosen server, or ``None`` if ``views`` is empty.
 
     >>> views = [ServerCandidate("a", 9, 0.1, True), ServerCandidate("b", 0, 0.2, True)]
@@ -118,7 +123,8 @@
     """
     if not views:
         return None
-    mean = sum(view.requests for view in views) / len(views)
+    total = sum(view.requests for view in views) + sum(other_requests)
+    mean = total / (len(views) + len(other_requests))
     limit = load_factor * mean + LOAD_LIMIT_MARGIN_REQUESTS
     bounded = [view for view in views if view.requests <= limit]
     return DIRECT_PLACEMENT_POLICIES[policy](bounded or views)
--- a/bilberryspring/policy/tests/fleet_replay.py
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -101,6 +101,9 @@
     :param arrivals_per_s: arrival rate that replaces the one by utilization; zero for
         none.
     :param mix_turn: time in seconds at which other chat kinds follow, and these.
+    :param shedding_share: share of the servers that shed all requests for a time.
+    :param shedding_s: how long each of them sheds, in seconds.
+    :param are_pauses_known: whether every router knows these times beforehand.
     :param busy_ratio: factor by which work takes longer while a server's machine has
         other work, a fifth of the time.
     """
@@ -123,6 +126,9 @@
     arrivals_per_s: float = 0.0
     mix_turn: tuple[float, tuple[ChatKind, ...]] = (math.inf, ())
     busy_ratio: float = 1.0
+    shedding_share: float = 0.0
+    shedding_s: float = 0.0
+    are_pauses_known: bool = False
 
 
 @dataclass
@@ -162,6 +168,11 @@
     :param reread_tokens: tokens of shared parts that an engine read although some
         engine had used them recently.
     :param fetched_tokens: tokens of shared parts that engines copied from each other.
+    :param sent_in_pause: number of requests that a router sent to a server after this
+        had told it to wait, and before the end of that time.
+    :param returned: time in seconds since the end of its shedding at which each request
+        reached a server, in its first seconds.
+    :param returned_refusals: number of these that the server refused.
     """
 
     by_workspace: dict = field(default_factory=dict)
@@ -171,6 +182,9 @@
     report_bytes_per_s: float = 0.0
     reread_tokens: int = 0
     fetched_tokens: int = 0
+    sent_in_pause: int = 0
+    returned: list = field(default_factory=list)
+    returned_refusals: int = 0
 
     @property
     def all(self):
@@ -210,6 +224,12 @@
         self.running_tokens = 0
         self.prefills = asyncio.Lock()
         self.work_time_ratio = 1.0
+        self.shedding_begin_s = self.shedding_end_s = math.inf
+
+    def compute_pause_s(self, now_s):
+        """Return for how long the server still sheds requests; zero if it does not."""
+        is_shedding = self.shedding_begin_s <= now_s < self.shedding_end_s
+        return self.shedding_end_s - now_s if is_shedding else 0.0
 
     def cache_part(self, part):
         """Cache a part, and evict the least recently used ones if memory is full."""
@@ -385,7 +405,7 @@
     pool = PoolLimits(pool_name, 500, limits)
     rule = ExecutionRule.STREAM if fleet.is_engine else ExecutionRule.ONCE
     plain_route = make_route(rule, target_s=fleet.target_s, timeout_s=fleet.deadline_s)
-    last_used_s = {}
+    last_used_s, told_pauses = {}, {}
     warm_up_s = WARM_UP_S + (CACHE_WARM_UP_S if fleet.chat_kinds else 0.0)
     result = FleetResult()
 
@@ -446,7 +466,13 @@
                 bound = LOAD_BOUND_FACTOR * mean + LOAD_BOUND_MARGIN
                 result.arrivals.append((loop.time(), server.present > bound))
             sent_s = loop.time()
+            told_until_s = told_pauses.get((router.ip, server_id), 0.0)
+            result.sent_in_pause += sent_s < told_until_s
             await asyncio.sleep(NETWORK_DELAY_S)
+            pause_s = server.compute_pause_s(loop.time())
+            is_returned = 0.0 <= loop.time() - server.shedding_end_s < fleet.shedding_s
+            if is_returned:
+                result.returned.append(loop.time() - server.shedding_end_s)
             begun_s = []
 
             def state(load, record=place.record, begun_s=begun_s):
@@ -456,7 +482,9 @@
                     NETWORK_DELAY_S, router.table.update_server_load, record, load
                 )
 
-            if fleet.chat_kinds:
+            if pause_s:
+                has_run = False
+            elif fleet.chat_kinds:
                 source = request.fetch_from and servers[request.fetch_from.server_id]
                 counted = result if is_counted else FleetResult()
                 has_run = await server.serve_chat(
@@ -466,6 +494,10 @@
                 share = 0.2 if fleet.is_engine else 1.0
                 has_run = await server.serve(share, state)
             await asyncio.sleep(NETWORK_DELAY_S)
+            result.returned_refusals += is_returned and not has_run
+            if pause_s:
+                told_pauses[router.ip, server_id] = loop.time() + pause_s
+                router.table.pause(place.record, pause_s)
             router.dispatcher.release(place, loop.time() - sent_s if has_run else None)
             if has_run:
                 if is_counted:
@@ -479,7 +511,23 @@
                     outcomes.refused_after_s.append(loop.time() - arrival_s)
                 return
 
+    def start_known_pause(server_id, pause_s):
+        for router in routers:
+            router.table.records[server_id].pause.until_s = loop.time() + pause_s
+
     add_servers(fleet.servers)
+    for number in range(round(fleet.servers * fleet.shedding_share)):
+        server = servers[f"s{number}"]
+        latest_s = max(duration_s - 1.5 * fleet.shedding_s, 0.0)
+        server.shedding_begin_s = warm_up_s + server.busy_rng.uniform(0.0, latest_s)
+        server.shedding_end_s = server.shedding_begin_s + fleet.shedding_s
+        if fleet.are_pauses_known:
+            loop.call_at(
+                server.shedding_begin_s,
+                start_known_pause,
+                f"s{number}",
+                fleet.shedding_s,
+            )
     for router in routers:
         router.peers.add_addresses([other.ip for other in routers])
     running += [asyncio.create_task(router.run()) for router in routers]
--- a/bilberryspring/policy/tests/test_direct_placement.py
+++ b/bilberryspring/policy/tests/test_direct_placement.py
@@ -34,6 +34,15 @@
     assert choose_server("shortest_start", [], 1.5) is None
 
 
+def test_servers_that_accept_no_requests_count_in_the_mean_of_the_load_bound():
+    views = [
+        ServerCandidate("a", 6, 0.1, True),
+        ServerCandidate("b", 4, 0.2, True),
+    ]
+    assert choose_server("shortest_start", views, 1.0).server_id == "a"
+    assert choose_server("shortest_start", views, 1.0, [0, 0]).server_id == "b"
+
+
 def test_removing_a_server_moves_only_the_chats_with_their_home_there():
     server_ids = [f"s{number}" for number in range(8)]
     keys = [f"chat-{number}" for number in range(400)]
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -68,6 +68,7 @@
     "handshake_failed": Event(_STATE, "the handshake with a peer failed"),
     "peer_rejected": Event(_STATE, "an incoming connection failed authentication"),
     "backend_state": Event(_STATE, "the state of a backend server changed"),
+    "server_paused": Event(_STATE, "a server wants no requests for some time"),
     "engine_version_seen": Event(_STATE, "a version of the engine was detected"),
     "engine_version_changed": Event(_STATE, "the engine now runs another version"),
     "crash_recorded": Event(_STATE, "a request content crashed a backend server"),
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -24,6 +24,7 @@
     LeavingSource,
     make_server_leavings,
 )
+from bilberryspring.process.server_pauses import ServerPause, make_server_pauses
 
 __all__ = [
     "LoadStatement",
@@ -118,6 +119,7 @@
     :param slowness_sampled_s: when the slowness was last sampled.
     :param sent_parts: prompt parts that this router sent there, the latest last.
     :param epoch: history of the store in which ``server`` was listed.
+    :param pause: time for which it wants no requests of this router.
     """
 
     server: BackendServer
@@ -145,6 +147,7 @@
     slowness_sampled_s: float = 0.0
     sent_parts: OrderedDict[PartId, None] = field(default_factory=OrderedDict)
     epoch: StoreEpoch | None = None
+    pause: ServerPause = field(default_factory=ServerPause)
 
     @property
     def total_requests(self) -> float:
@@ -428,6 +431,7 @@
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._digest = 0
         self._is_index_current = False
+        self._pauses = make_server_pauses()
 
     def put(
         self,
@@ -486,7 +490,8 @@
         record = self.records.get(server_id)
         is_changed = record is None or record.server != server
         if record is None or _is_restarted(record.server, server):
-            record = ServerRecord(server, self._read_clock())
+            pause = self._pauses.get(server)
+            record = ServerRecord(server, self._read_clock(), pause=pause)
             self.records[server_id] = record
         record.server, record.epoch = server, epoch
         if not is_changed:
@@ -614,6 +619,15 @@
             load = reported.get(hash_name(server_id)) or PeerLoad()
             record.update_peer_load(load, heard_share, now_s, self._load_estimator)
 
+    def pause(self, record: ServerRecord, pause_s: float) -> None:
+        """Record that a server wants no requests of this router for some time.
+
+        :param record: the server's record.
+        :param pause_s: time in seconds; zero has no effect.
+        """
+        if pause_s > 0:
+            self._pauses.begin(record.server, record.pause, pause_s, self._read_clock())
+
     def update_server_load(self, record: ServerRecord, load: ServerLoad | None) -> None:
         """Record the load that a server stated with a response to this router.
 
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -63,6 +63,10 @@
 # How often waiting requests are placed again while no request of this router ends:
 # capacity also becomes free through requests of the other routers.
 REDISPATCH_INTERVAL_S = 0.03
+# When a caller may come back for which no server is left, but some are listed.
+NO_SERVER_RETRY_AFTER_S = 0.5
+# Servers in a pause that a log line names.
+MAX_NAMED_SERVERS = 3
 # Waiting requests that are tried at a time; the others wait behind these.
 MAX_DISPATCH_SCAN = 8
 # Upper bound of the random factor on the predicted wait that spreads the retries of
@@ -131,6 +135,9 @@
             failure if there is none.
         """
         queue = self._waiting.setdefault(pool.name, [])
+        refusal = self._refuse_in_pause(pool.name)
+        if refusal is not None:
+            return refusal
         priority_key = self._make_priority_key(request, pool)
         refusal = self._shed_load(request, pool, priority_key)
         if refusal is not None:
@@ -216,6 +223,7 @@
             ``None`` if there was none. It updates the pool's mean service time.
         """
         reservation.mark_prefill_done()
+        reservation.settle_trial(is_accepted=taken_s is not None)
         record = reservation.record
         record.change_requests(-1, asyncio.get_running_loop().time())
         record.held_tokens -= reservation.held_tokens
@@ -247,6 +255,12 @@
                     break
                 continue
             waiting.result.set_result(found)
+        for waiting in queue:
+            refusal = self._refuse_in_pause(pool)
+            if refusal is None:
+                break
+            if not waiting.result.done():
+                waiting.result.set_result(refusal)
         open_requests = [each for each in queue if not each.result.done()]
         if len(open_requests) < len(queue):
             queue[:] = open_requests
@@ -277,6 +291,18 @@
         """
         return self._mean_service_s.get(pool, INITIAL_SERVICE_TIME_S)
 
+    def predict_return_s(self, pool: PoolName) -> float:
+        """Return when a request that a server refused may come back.
+
+        :param pool: name of the pool.
+        :returns: seconds; while no server of the pool wants requests, not earlier than
+            the first of them does.
+        """
+        refusal = self._refuse_in_pause(pool)
+        if refusal is not None:
+            return refusal.retry_after_s
+        return self.get_mean_service_s(pool)
+
     def _make_priority_key(
         self, request: IncomingRequest, pool: PoolLimits
     ) -> tuple[int, int, bool]:
@@ -301,12 +327,12 @@
         shedder = self._shedders[pool.name]
         now_s = asyncio.get_running_loop().time()
         if shedder.is_due(now_s):
-            ready = self._servers.list_ready(pool.name)
+            accepting = self._list_accepting(pool.name)
             slots = sum(
                 pool.engine.slots if pool.engine else record.server.slots
-                for record in ready
+                for record in accepting
             )
-            requests = sum(record.total_requests for record in ready)
+            requests = sum(record.total_requests for record in accepting)
             is_engine = pool.engine is not None
             shedder.adjust(requests / max(slots, 1), now_s, is_engine)
         draw = draw_uniform(request.request_id, pool.name)
@@ -328,14 +354,14 @@
         priority_key: tuple[int, int, bool],
         must_end_s: float,
     ) -> Failure | None:
-        ready = self._servers.list_ready(pool.name)
+        accepting = self._list_accepting(pool.name)
         service_s = self.get_mean_service_s(pool.name)
         view = QueueView(
             queued_ahead=sum(
                 each.sort_key[:3] <= priority_key for each in self._waiting[pool.name]
             ),
-            running_requests=sum(record.requests for record in ready),
-            pool_slots=sum(record.server.slots for record in ready),
+            running_requests=sum(record.requests for record in accepting),
+            pool_slots=sum(record.server.slots for record in accepting),
             router_count=self.router_count,
             service_s=service_s,
             target_event_s=service_s if pool.engine is None else ENGINE_BASE_LATENCY_S,
@@ -352,6 +378,40 @@
             * random.uniform(1.0, RETRY_AFTER_SPREAD),
         )
 
+    def _list_accepting(self, pool: PoolName) -> list[ServerRecord]:
+        """Return the servers of a pool that want requests of this router."""
+        now_s = asyncio.get_running_loop().time()
+        return [
+            record
+            for record in self._servers.list_ready(pool)
+            if not record.pause.is_active(now_s)
+        ]
+
+    def _refuse_in_pause(self, pool: PoolName) -> Failure | None:
+        """Refuse a request while no server of its pool wants any."""
+        now_s = asyncio.get_running_loop().time()
+        ready = self._servers.list_ready(pool)
+        if not ready or any(not record.pause.is_active(now_s) for record in ready):
+            return None
+        return self._make_pause_refusal(pool, ready, now_s)
+
+    def _make_pause_refusal(
+        self, pool: PoolName, ready: list[ServerRecord], now_s: float
+    ) -> Failure:
+        paused = [record for record in ready if record.pause.is_active(now_s)]
+        retry_after_s = NO_SERVER_RETRY_AFTER_S
+        if len(paused) == len(ready):
+            soonest_s = min(record.pause.until_s for record in paused) - now_s
+            retry_after_s = max(soonest_s, MIN_RETRY_AFTER_S) * random.uniform(
+                1.0, RETRY_AFTER_SPREAD
+            )
+        return make_failure(
+            ErrorKind.NO_INSTANCE,
+            f"{len(paused)} of {len(ready)} servers of pool {pool} want no requests"
+            f" ({_describe_pauses(paused, now_s)}), and no other is left to try",
+            retry_after_s=retry_after_s,
+        )
+
     def _try_reserve(
         self, request: IncomingRequest, pool: PoolLimits
     ) -> Reservation | Failure:
@@ -362,15 +422,21 @@
         ]
         if not untried:
             reason = f"pool {pool.name} has {len(ready)} servers, none is left to try"
-            return make_failure(ErrorKind.NO_INSTANCE, reason, retry_after_s=0.5)
-        healthy = [r for r in untried if not r.is_avoided(now_s)]
-        records = healthy or untried
+            return make_failure(
+                ErrorKind.NO_INSTANCE, reason, retry_after_s=NO_SERVER_RETRY_AFTER_S
+            )
+        accepting = [r for r in untried if not r.pause.is_active(now_s)]
+        if not accepting:
+            return self._make_pause_refusal(pool.name, ready, now_s)
+        healthy = [r for r in accepting if not r.is_avoided(now_s)]
+        records = healthy or accepting
         homes = rank_home_engines(request.prompt, self._servers.list_all(pool.name))
         preferred_homes = [
             home
             for home in homes
             if home.server.is_ready
             and not home.is_avoided(now_s)
+            and not home.pause.is_active(now_s)
             and home.server.server_id not in request.tried_server_ids
         ][:PREFERRED_HOMES]
         penalties_s = self._compute_start_penalties_s(
@@ -380,6 +446,8 @@
         is_heavy = usage.is_heavy(request.workspace, now_s)
         views, reservations = [], {}
         for record in records:
+            if not record.pause.allows_request(now_s):
+                continue
             reservation = self._plan_reservation(record, request, pool, homes, now_s)
             if not self._has_capacity(record, reservation, request, pool, is_heavy):
                 continue
@@ -399,7 +467,13 @@
             return make_failure(
                 ErrorKind.OVERLOADED, "the home engines are at capacity"
             )
-        chosen = choose_server(self._policy, views, self._load_factor)
+        paused = [r for r in ready if r.pause.is_active(now_s)]
+        chosen = choose_server(
+            self._policy,
+            views,
+            self._load_factor,
+            [record.total_requests for record in paused],
+        )
         if chosen is None:
             return make_failure(
                 ErrorKind.OVERLOADED, "no server of the pool has free capacity"
@@ -410,6 +484,8 @@
         record.change_requests(1, now_s)
         record.prompt_tokens += reservation.prompt_tokens
         record.held_tokens += reservation.held_tokens
+        reservation.trial = record.pause.reserve_trial()
+        reservation.paused_servers = _describe_pauses(paused, now_s)
         source = reservation.fetch_from
         request.fetch_from = None if source is None else source.server
         return reservation
@@ -506,6 +582,15 @@
         return requests_per_slot * self.get_mean_service_s(pool.name)
 
 
+def _describe_pauses(paused: list[ServerRecord], now_s: float) -> str:
+    """Name the servers that want no requests for the longest time."""
+    named = heapq.nlargest(MAX_NAMED_SERVERS, paused, key=lambda r: r.pause.until_s)
+    return ", ".join(
+        f"{record.server.server_id} for {record.pause.until_s - now_s:.2f} s"
+        for record in named
+    )
+
+
 def make_dispatcher(
     servers: ServerTable,
     zone: AvailabilityZone,
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -418,6 +418,7 @@
             slowness=record.slowness,
             expected_s=reservation.expected_s,
             prompt_tokens=reservation.prompt_tokens,
+            paused_servers=reservation.paused_servers,
         )
         return attempt
 
@@ -449,9 +450,10 @@
                 record.record_failure(head.reason, loop.time())
                 return head
             record.record_response(attempt, loop.time())
-            record.record_response_time(
-                loop.time() - attempt.sent_s, reservation.expected_s, loop.time()
-            )
+            if not head.pause_s:
+                record.record_response_time(
+                    loop.time() - attempt.sent_s, reservation.expected_s, loop.time()
+                )
             refusal = self._check_head(head, request, reservation, progress)
             if refusal is not None and not (
                 # The server's own failure is an answer unless there is a better one.
@@ -491,11 +493,14 @@
         self._servers.update_server_load(record, head.load)
         if head.is_leaving:
             self._servers.record_statement_of_leaving(record)
+        self._servers.pause(record, head.pause_s)
+        reservation.settle_trial(is_accepted=head.is_verified and not head.was_not_run)
         if head.was_not_run:
+            wish = f" and wants none for {head.pause_s:.2f} s" if head.pause_s else ""
             return make_failure(
                 ErrorKind.OVERLOADED,
-                f"{record.server.server_id} refused it with status {head.status}",
-                retry_after_s=self._dispatcher.get_mean_service_s(record.server.pool),
+                f"{record.server.server_id} refused it with status {head.status}{wish}",
+                retry_after_s=self._dispatcher.predict_return_s(record.server.pool),
             )
         if not head.is_verified:
             return make_failure(
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -47,6 +47,10 @@
     :param fetch_from: engine to copy the missing parts from, ``None`` to prefill them.
     :param is_prefill_done: whether the response has begun, so that ``prompt_tokens`` no
         longer count as pending on the server.
+    :param trial: return of the server after a pause that the request belongs to;
+        ``None`` if it belongs to none, or was answered.
+    :param paused_servers: servers that were passed over since they want no requests,
+        for the log.
     """
 
     record: ServerRecord
@@ -56,6 +60,8 @@
     missing_prefix_s: float = 0.0
     fetch_from: ServerRecord | None = None
     is_prefill_done: bool = False
+    trial: int | None = None
+    paused_servers: str = ""
 
     def mark_prefill_done(self) -> None:
         """Record that the response has begun, so that no prefill is pending."""
@@ -63,6 +69,15 @@
             self.is_prefill_done = True
             self.record.prompt_tokens -= self.prompt_tokens
 
+    def settle_trial(self, *, is_accepted: bool) -> None:
+        """Record the first answer to the request, or its end without one.
+
+        :param is_accepted: whether the server ran the request.
+        """
+        if self.trial is not None:
+            self.record.pause.settle_trial(self.trial, is_accepted=is_accepted)
+            self.trial = None
+
 
 def plan_reservation(
     record: ServerRecord,
@@ -121,15 +136,20 @@
         if home is record:
             if is_cache_filled:
                 break
-        elif not home.is_avoided(now_s):
+        elif _can_be_fetched_from(home, now_s):
             return home
     best = max(others, key=lambda each: each.count_cached_tokens(prompt), default=None)
-    if best is None or best is record or best.is_avoided(now_s):
+    if best is None or best is record or not _can_be_fetched_from(best, now_s):
         return None
     known = record.count_cached_tokens(prompt)
     return best if best.count_cached_tokens(prompt) > known else None
 
 
+def _can_be_fetched_from(record: ServerRecord, now_s: float) -> bool:
+    # A transfer is work for its source, so a server in a pause is none.
+    return not record.is_avoided(now_s) and not record.pause.is_active(now_s)
+
+
 def predict_engine_start_s(reservation: Reservation) -> float:
     """Predict the time until an engine of typical speed begins its response.
 
--- a/bilberryspring/request/tests/relay_fixtures.py
+++ b/bilberryspring/request/tests/relay_fixtures.py
@@ -75,8 +75,8 @@
     )
 
 
-def make_head(status=200, was_not_run=False, is_own=True):
-    return BackendResponseHead(status, [], was_not_run, is_own, None)
+def make_head(status=200, was_not_run=False, is_own=True, pause_s=0.0):
+    return BackendResponseHead(status, [], was_not_run, is_own, None, pause_s=pause_s)
 
 
 def make_lost_connection(reason="connection reset"):
@@ -198,6 +198,7 @@
     stop_in_s=None,
     start_in_s=0.0,
     wait_s=0.0,
+    table=None,
     **request,
 ):
     """Relay one request; return its recorded answer and the backend calls.
@@ -205,10 +206,12 @@
     :param stop_in_s: time in seconds after which a router that stops ends all requests.
     :param start_in_s: time in seconds from which it sends none that may last longer.
     :param wait_s: time in seconds that the request waits for its reservation.
+    :param table: servers with their state; ``None`` for those of ``servers``.
     """
-    table = make_server_table()
-    for server_id in servers:
-        table.put(make_server(server_id))
+    if table is None:
+        table = make_server_table()
+        for server_id in servers:
+            table.put(make_server(server_id))
     calls = ScriptedBackendCalls(list(scripts), down=set(down))
     budget = make_fleet_retry_budget(0.0, extra, 10.0, asyncio.get_running_loop().time)
     dispatcher = make_dispatcher(table, "z", 2.0)
--- a/bilberryspring/request/tests/test_dispatcher.py
+++ b/bilberryspring/request/tests/test_dispatcher.py
@@ -190,3 +190,98 @@
     await asyncio.sleep(0.05)
     assert not task.done()
     task.cancel()
+
+
+async def test_waiting_request_is_not_sent_to_a_server_that_wants_none():
+    servers = [make_server("a", slots=2), make_server("b", slots=2)]
+    dispatcher, table = make_dispatcher_and_table(servers)
+    reservations = await fill(dispatcher, 2 * MAX_SERVER_REQUESTS)
+    task = asyncio.create_task(acquire(dispatcher, make_request(make_route())))
+    await asyncio.sleep(0)
+    table.pause(table.records["a"], 5.0)
+    for each in reservations:
+        if each.record.server.server_id == "a":
+            dispatcher.release(each, 0.05)
+    await asyncio.sleep(0.05)
+    assert not task.done()
+    dispatcher.release(
+        next(r for r in reservations if r.record.server.server_id == "b")
+    )
+    assert (await task).record.server.server_id == "b"
+
+
+async def test_all_waiting_requests_are_refused_at_once_when_no_server_wants_any():
+    dispatcher, table = make_dispatcher_and_table([make_server("a", slots=2)])
+    await fill(dispatcher, MAX_SERVER_REQUESTS)
+    tasks = [
+        asyncio.create_task(
+            acquire(dispatcher, make_request(make_route(), request_id=f"w{number}"))
+        )
+        for number in range(4)
+    ]
+    await asyncio.sleep(0)
+    table.pause(table.records["a"], 0.8)
+    dispatcher.dispatch_all_waiting()
+    async with asyncio.timeout(0.1):
+        refusals = await asyncio.gather(*tasks)
+    assert {each.outcome for each in refusals} == {Outcome.NOT_RUN}
+    assert all(each.retry_after_s >= 0.75 for each in refusals)
+    # Callers that are refused together come back one after another.
+    assert len({each.retry_after_s for each in refusals}) == len(refusals)
+
+
+@pytest.mark.parametrize("allows_avoided", [False, True])
+async def test_replacement_is_not_sent_to_a_server_that_wants_none(allows_avoided):
+    dispatcher, table = make_dispatcher_and_table([make_server("a"), make_server("b")])
+    request = make_request(make_route(ExecutionRule.REPEATABLE))
+    request.tried_server_ids.add("b")
+    table.pause(table.records["a"], 5.0)
+    found = dispatcher.acquire_now(request, SERVICE_POOL, allows_avoided)
+    assert found.kind is ErrorKind.NO_INSTANCE
+    assert table.records["a"].requests == 0
+
+
+async def test_return_to_a_server_does_not_release_all_waiting_requests_at_once():
+    dispatcher, table = make_dispatcher_and_table([make_server("a")])
+    record = table.records["a"]
+    table.pause(record, 0.01)
+    record.pause.until_s = 0.0
+    tasks = [
+        asyncio.create_task(
+            acquire(dispatcher, make_request(make_route(), request_id=f"w{number}"))
+        )
+        for number in range(4)
+    ]
+    await asyncio.sleep(0.05)
+    assert record.requests == 1
+    dispatcher.release(next(t for t in tasks if t.done()).result(), 0.05)
+    await asyncio.sleep(0.05)
+    assert record.requests == 2
+    for task in tasks:
+        task.cancel()
+
+
+async def test_chat_whose_home_wants_no_requests_goes_elsewhere_without_its_cache():
+    servers = [make_server(name, "writers") for name in "abcde"]
+    dispatcher, table = make_dispatcher_and_table(servers)
+    prompt = make_prompt(SYSTEM_PART, SESSION_PART, ("own", 100))
+    home = (await acquire(dispatcher, make_prompt_request(prompt), ENGINE_POOL)).record
+    home.record_sent(object(), prompt, 0.0)
+    table.pause(home, 5.0)
+    request = make_prompt_request(prompt)
+    found = await acquire(dispatcher, request, ENGINE_POOL)
+    assert found.record is not home
+    assert request.fetch_from is not home.server
+
+
+async def test_overload_of_servers_that_want_no_requests_is_not_that_of_the_pool():
+    names = "abcd"
+    dispatcher, table = make_dispatcher_and_table([make_server(n) for n in names])
+    for name in "ab":
+        table.records[name].peer_load.requests = 40.0
+        table.pause(table.records[name], 5.0)
+    found = [
+        await acquire(dispatcher, make_request(make_route(), request_id=f"q{number}"))
+        for number in range(4)
+    ]
+    assert {each.record.server.server_id for each in found} == {"c", "d"}
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import time
 from dataclasses import replace
 
@@ -12,6 +13,8 @@
 
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.process.clock import read_boot_time_s
+from bilberryspring.process.server_table import make_server_table
+from bilberryspring.request.dispatcher import RETRY_AFTER_SPREAD
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
 from bilberryspring.request.relay import (
     MAX_BUFFERED_BODY_BYTES,
@@ -29,6 +32,7 @@
     make_prompt,
     make_request,
     make_route,
+    make_server,
     relay,
 )
 
@@ -645,3 +649,45 @@
     await running
     reported = [each for each in suspects.list_reports(6) if not each.is_request]
     assert reported[0].answer_age_s > 0.2
+
+
+SHEDDING = [make_head(503, was_not_run=True, is_own=False, pause_s=5.0)]
+
+
+@pytest.mark.parametrize("route", [REPEATABLE_ROUTE, ONCE_ROUTE])
+async def test_request_refused_by_servers_that_want_none_returns_after_their_time(
+    route,
+):
+    answer, calls = await relay(route, [SHEDDING] * 3, servers=("a", "b"))
+    assert len(calls.sent) == 2
+    assert answer.failure.outcome is Outcome.NOT_RUN
+    assert 4.9 < answer.failure.retry_after_s < 5.5 * RETRY_AFTER_SPREAD
+    assert "wants none for 5.00 s" in answer.failure.reason
+
+
+async def test_server_that_wants_no_requests_counts_neither_as_dead_nor_as_sound():
+    table = make_server_table()
+    for server_id in ("a", "b"):
+        table.put(make_server(server_id))
+    record = table.records["a"]
+    record.consecutive_failures, record.slowness = 1, 3.0
+    record.slowness_sampled_s = asyncio.get_running_loop().time()
+    record.failure_rate, failed_until_s = 0.3, record.avoided_until_s
+    table.records["b"].avoided_until_s = math.inf
+    answer, calls = await relay(
+        REPEATABLE_ROUTE, [SHEDDING, COMPLETE_RESPONSE], table=table
+    )
+    assert [server for server, _, _ in calls.sent] == ["a", "b"]
+    assert answer.is_finished
+    assert (record.consecutive_failures, record.failure_rate) == (1, 0.3)
+    assert (record.slowness, record.avoided_until_s) == (3.0, failed_until_s)
+
+
+async def test_repeat_of_a_silent_request_is_not_sent_to_a_server_that_wants_none():
+    table = make_server_table()
+    for server_id in ("a", "b", "c"):
+        table.put(make_server(server_id))
+    for server_id in ("b", "c"):
+        table.pause(table.records[server_id], 5.0)
+    _, calls = await relay(REPEATABLE_ROUTE, [[]], table=table)
+    assert [server for server, _, _ in calls.sent] == ["a"]
