Let servers of the soak shed load for stated times

Throughout the phase of faults, one server after the other refuses all requests with 503 and the time left as Retry-After. A new check, check_pauses, finds more than two requests that reach a server from one router process between half a second after such a refusal and the end of its time; freezes and faults of a server's connection are excused. Shedding draws from a generator of its own, so seeds keep their faults.

The soak doesn't send Server-Leaving.

--- a/bilberryspring/platform/tests/soak_checks.py
+++ b/bilberryspring/platform/tests/soak_checks.py
@@ -18,6 +18,10 @@
 MAX_CONFIGURATION_DELAY_S = 2.0
 MAX_OVERDUE_S = 0.7
 MAX_STOP_S = 8.0
+# Requests that may reach a server between this time after its refusal and the end of
+# the time for which it wants none.
+MAX_PAUSE_DELAY_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 SETTLE_TIME_S = 5.0
 LOAD_FACTOR, LOAD_ALLOWANCE = 2.0, 3
 MIN_SERVED_RATIO = 0.95
@@ -156,6 +160,38 @@
                 yield f"{call} was interrupted by {stop}"
 
 
+def check_pauses(harness):
+    """Check that routers leave servers alone that want no requests for a time."""
+    calls = {call.request_id: call for call in harness.calls}
+
+    def find_process(request_id):
+        return calls[request_id].router, calls[request_id].generation
+
+    reached = [
+        (each.server, find_process(each.request_id), each.arrived_s)
+        for each in harness.arrivals
+    ]
+    reached += [
+        (each.server, find_process(each.request_id), each.refused_s)
+        for each in harness.refusals
+    ]
+    for refusal in harness.refusals:
+        process = find_process(refusal.request_id)
+        # A refusal does not arrive over a connection that is cut.
+        if overlaps_fault(
+            harness, refusal.refused_s - 0.5, refusal.end_s, "freeze", "server"
+        ):
+            continue
+        in_pause = [
+            at_s
+            for server, sender, at_s in reached
+            if (server, sender) == (refusal.server, process)
+            and refusal.refused_s + MAX_PAUSE_DELAY_S < at_s < refusal.end_s
+        ]
+        if len(in_pause) > MAX_REQUESTS_IN_PAUSE:
+            yield f"{len(in_pause)} requests of router {process} in {refusal}"
+
+
 def check_deadlines(harness):
     for call in harness.calls:
         overdue_s = call.ended_s - call.sent_s - DEADLINE_S
@@ -203,6 +239,7 @@
     check_removals,
     check_configuration,
     check_stops,
+    check_pauses,
     check_deadlines,
     check_load_bound,
     check_recovery,
--- a/bilberryspring/platform/tests/soak_harness.py
+++ b/bilberryspring/platform/tests/soak_harness.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+from aiohttp import web
 
 from bilberryspring.platform.tests.platform_standin import (
     CONFIGURATION,
@@ -27,6 +28,7 @@
     "CallRecord",
     "ConfigurationChange",
     "InjectedFault",
+    "Refusal",
     "RouterStop",
     "ServerRemoval",
     "SoakHarness",
@@ -135,6 +137,19 @@
     exit_code: int
 
 
+@dataclass
+class Refusal:
+    """A refusal of a server that stated for how long it wants no requests.
+
+    :param end_s: time at which the server wants requests again.
+    """
+
+    request_id: str
+    server: str
+    refused_s: float
+    end_s: float
+
+
 class SoakServer(ServerStandin):
     """A server behind a proxy, which records the time of each arrival."""
 
@@ -145,6 +160,7 @@
         self.running = 0
         self.is_removed = False
         self.answer_fault = None
+        self.shedding_end_s = 0.0
         self.rng = random.Random(server_id)
         self._harness = harness
 
@@ -160,6 +176,20 @@
         return f"{self.running},0,8"
 
     async def _handle_request(self, request):
+        left_s = self.shedding_end_s - self._harness.now_s()
+        if left_s > 0:
+            await request.read()
+            request_id = request.headers["Attempt-Id"]
+            now_s = self._harness.now_s()
+            self._harness.refusals.append(
+                Refusal(request_id, self.server_id, now_s, now_s + left_s)
+            )
+            headers = {
+                "Attempt-Id": request_id,
+                "Not-Executed": "1",
+                "Retry-After": str(left_s),
+            }
+            return web.Response(status=503, headers=headers)
         if request.headers["Expect-Replica"] == self.server_id:
             kind = request.path.split("/")[1]
             request_id = request.headers["Attempt-Id"]
@@ -215,7 +245,10 @@
         self.nodes = []
         self.arrivals, self.calls, self.injected_faults = [], [], []
         self.configuration_changes, self.server_removals, self.router_stops = [], [], []
+        self.refusals = []
         self.recovered_s = 0.0
+        # Shedding has a generator of its own, so that seeds keep their faults.
+        self._shedding_rng = random.Random(f"shedding/{seed}")
         self.configuration = {}
         self._ids = itertools.count()
         self._versions = itertools.count(4, 3)
@@ -325,7 +358,7 @@
             )
             for number in range(CALLER_COUNT)
         ]
-        fault_tasks = []
+        fault_tasks = [asyncio.create_task(self._shed_load_until(end_s))]
         while self.now_s() < end_s:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
             inject_fault = self.rng.choice(self.fault_injectors)
@@ -340,6 +373,16 @@
         await asyncio.gather(*callers)
         readiness_checks.cancel()
 
+    async def _shed_load_until(self, end_s):
+        """Let one server after the other refuse all requests for some time."""
+        rng = self._shedding_rng
+        while self.now_s() < end_s:
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            duration_s = rng.uniform(0.3, 2.0)
+            listed = [each for each in self.servers.values() if not each.is_removed]
+            rng.choice(listed).shedding_end_s = self.now_s() + duration_s
+            await asyncio.sleep(duration_s)
+
     async def _check_readiness(self):
         """Check the readiness of each router, as the platform's load balancer does."""
         while True:
