Use a restarted server whose start is earlier by its clock

Seen in a test only: after a restoration a server that started again under its id, with a clock some seconds behind, was ignored without end. The router kept its record, with the former address, and sent requests there.

Cause: an entry of another history with an earlier start counts as one of the copy for as long as the record is of the former history, and the record's history changes only with an entry that is believed. Starts are Unix times of different clocks, which may jump.

An entry that is written again within a history has a writer that runs, so the record then belongs to that history, in which the order of the store decides. The first entry of a history is held as before. Before the change the test failed with port 7001 in place of 7002.

What remains: a server whose entry is never written again in the new history is held until its entry is removed.

--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -446,6 +446,10 @@
         if listed is None or listed.server != server:
             self._is_index_current = False
         self._listed[server.server_id] = _ListedServer(server, epoch, is_from_router)
+        record = self.records.get(server.server_id)
+        if record is not None and _is_rewritten(listed, server, epoch):
+            # Its writer runs, whatever its clock showed at its start.
+            record.epoch = epoch
         if self._is_superseded(server, epoch):
             return
         if not server.is_ready:
@@ -637,6 +641,19 @@
         record.update_statement(statement, now_s, self._load_estimator)
 
 
+def _is_rewritten(
+    listed: _ListedServer | None, server: BackendServer, epoch: StoreEpoch | None
+) -> bool:
+    """Return whether an entry was written again within one history of the store."""
+    return (
+        listed is not None
+        and epoch is not None
+        and listed.epoch == epoch
+        and (listed.server, listed.server.report_number)
+        != (server, server.report_number)
+    )
+
+
 def _is_restarted(previous: BackendServer, current: BackendServer) -> bool:
     return (previous.started_at_ms, previous.host, previous.port, previous.pool) != (
         current.started_at_ms,
