Keep the history of changes that are read after another router's list

Seen in a test only: a server whose leaving a router read in the former history got requests again after the restoration.

Cause: the watcher labels each change with the history of the held list. If another router's list of the restored store arrives while a watch of the former history waits, the last changes of that history are labelled with the next one. The leaving then looks like one that the restored store told, after which its entry of the copy is believed.

A change now carries the history that it was read in. The new test failed before (the server was ready) and passes; so do the tests of the store watchers, of leavings and of the restored store (67).

--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -233,14 +233,17 @@
         for server_id in [
             known_id for known_id in self._servers.records if known_id not in listed_ids
         ]:
-            self._handle_missing_entry(server_id)
+            self._handle_missing_entry(server_id, self.store_epoch)
         self._on_change()
 
     def _apply_change(self, item: StoreItem, is_from_router: bool = False) -> None:
         server_id = _parse_server_id(item.key)
+        # A change that is read late belongs to the history that it was read in, not to
+        # that of a list which another router sent meanwhile.
+        epoch = self.store_epoch if is_from_router else item.position.epoch
         if item.value is None:
             self._forget_entry(server_id)
-            self._handle_missing_entry(server_id)
+            self._handle_missing_entry(server_id, epoch)
         else:
             server = decode_server(server_id, item.value)
             self._removal_deadlines_s.pop(server_id, None)
@@ -251,7 +254,7 @@
                 self.entries[server_id] = SnapshotEntry(
                     item.key, item.value, item.position
                 )
-                self._servers.put(server, self.store_epoch, is_from_router)
+                self._servers.put(server, epoch, is_from_router)
         self._on_change()
 
     def _refuse_entry(
@@ -274,7 +277,9 @@
         self.entries.pop(server_id, None)
         self._refusals.pop(server_id, None)
 
-    def _handle_missing_entry(self, server_id: InstanceId) -> None:
+    def _handle_missing_entry(
+        self, server_id: InstanceId, epoch: StoreEpoch | None
+    ) -> None:
         last_listed_s = max(self._previous_confirmed_s, self._store_recovered_s)
         deadline_s = min(
             self._store_recovered_s + EXPIRED_ENTRY_GRACE_S,
@@ -284,7 +289,7 @@
             self._removal_deadlines_s.setdefault(server_id, deadline_s)
             self._servers.mark_unlisted(server_id)
         else:
-            self._servers.remove(server_id, "its entry was removed", self.store_epoch)
+            self._servers.remove(server_id, "its entry was removed", epoch)
 
 
 def _parse_server_id(key: str) -> InstanceId:
--- /dev/null
+++ b/bilberryspring/platform/tests/test_late_changes_of_a_former_history.py
@@ -0,0 +1,47 @@
+"""Changes of a former history that arrive after another router's list of the next.
+
+Guards against a server that left and gets work again, because its leaving counts as one
+of the restored history.
+"""
+
+import asyncio
+
+import pytest
+
+from bilberryspring.identifiers import StoreEpoch
+from bilberryspring.platform.tests.test_leavings_after_restoration import (
+    READY,
+    is_ready,
+)
+from bilberryspring.platform.tests.test_store_watchers import (
+    WatcherHarness,
+    make_snapshot_entry,
+    wait_for,
+)
+
+
+@pytest.fixture
+async def harness():
+    harness = WatcherHarness()
+    await harness.start()
+    yield harness
+    await harness.close()
+
+
+async def test_leaving_read_late_holds_in_the_restored_history(harness):
+    for name in ("s1", "s2"):
+        await harness.store.put(f"servers/{name}", READY)
+    await wait_for(lambda: is_ready(harness) and is_ready(harness, "s2"))
+    # The next watch is on its way.
+    await asyncio.sleep(0.5)
+    copy = harness.store.copy()
+    entries = [make_snapshot_entry(name, READY, 2) for name in ("s1", "s2")]
+    harness.server_watcher.apply_peer_entries(entries, 0.0, StoreEpoch(2))
+    leaving = {**READY, "state": "draining", "seq": 12}
+    await harness.store.put("servers/s1", leaving)
+    await wait_for(lambda: not is_ready(harness))
+    await harness.store.restore(copy)
+    await wait_for(lambda: harness.client.epoch == 2)
+    await asyncio.sleep(0.3)
+    assert is_ready(harness, "s2")
+    assert not is_ready(harness)
