Send an unlisted server that states that it leaves no new requests

Seen in a test only: within 1.9 s of a restoration a router keeps a server that the copy does not list. If that server stated in a response that it leaves, it got new requests nevertheless, because a statement changed records of listed servers only.

The record is now marked as not ready; an entry that is written later is judged by the leaving, as before. The new test failed before.

--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -534,7 +534,13 @@
         :param record: the server's record when the request was sent.
         """
         self.leavings.record_statement(record.server)
-        self._update_records([hash_name(record.server.server_id)])
+        server_id = record.server.server_id
+        if server_id in self._listed:
+            self._update_record(server_id)
+        elif self.records.get(server_id) is record:
+            # It is kept for now although the store lists it no more.
+            record.server = replace(record.server, is_ready=False)
+            self._is_index_current = False
 
     def merge_leavings(self, reports: Iterable[LeavingReport]) -> None:
         """Add the leavings of servers that another router reports.
--- a/bilberryspring/process/tests/test_server_table_after_restoration.py
+++ b/bilberryspring/process/tests/test_server_table_after_restoration.py
@@ -32,3 +32,13 @@
     for number in range(1, 4):
         servers.put(make_started_server(1500, 7002, number), PRESENT)
     assert servers.records["a"].server.port == 7002
+
+
+def test_unlisted_server_that_states_that_it_leaves_gets_no_new_requests():
+    servers = make_server_table()
+    server = make_started_server(2000, 7001, 9)
+    servers.put(server, FORMER)
+    record = servers.records["a"]
+    servers.mark_unlisted(server.server_id)
+    servers.record_statement_of_leaving(record)
+    assert not servers.list_ready(server.pool)
