Refuse a connection's malformed input once

Seen in a test only: while the input after a refusal was discarded, the timeout of the request head fired and refused the input again, with 408. The connection then logged `requests_unanswered` although its caller had read the refusal: a false trace of a request lost.

A rejected connection waits for nothing more, so its timeout does nothing. The new test failed before with three log lines in place of one.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -345,7 +345,7 @@
         return limits.header_timeout_s if is_reading_head else limits.idle_timeout_s
 
     def _handle_timeout(self) -> None:
-        if self._is_handling or self._requests:
+        if self._is_handling or self._requests or self._is_input_rejected:
             return
         waited_s = asyncio.get_running_loop().time() - self._wait_started_s
         left_s = self._get_time_limit_s() - waited_s
