Confirm the server list only with responses to its own watch

Found by the review: a watch of the former history that was answered after another router's list of the next one had been applied confirmed that list, so routers could take an older list for the fresher one while the store was away.

The test fails on the code before. The late changes themselves are still applied, with their own epoch, since a leaving among them has to hold.

--- a/bilberryspring/platform/store_follower.py
+++ b/bilberryspring/platform/store_follower.py
@@ -82,10 +82,13 @@
                 continue
             if not isinstance(result, Failure):
                 failures = 0
-                report_availability(True)
+                # The response confirms the view only if it was not replaced meanwhile.
+                is_replaced = needs_full_list()
+                if not is_replaced:
+                    report_availability(True)
                 for item in result.items:
                     apply_change(item)
-                position = result.position
+                position = None if is_replaced else result.position
                 await asyncio.sleep(pause_s if result.items else 0)
                 continue
         report_availability(False)
--- a/bilberryspring/platform/tests/test_late_changes_of_a_former_history.py
+++ b/bilberryspring/platform/tests/test_late_changes_of_a_former_history.py
@@ -7,6 +7,7 @@
 import asyncio
 
 import pytest
+from aiohttp import web
 
 from bilberryspring.identifiers import StoreEpoch
 from bilberryspring.platform.tests.test_leavings_after_restoration import (
@@ -45,3 +46,16 @@
     await asyncio.sleep(0.3)
     assert is_ready(harness, "s2")
     assert not is_ready(harness)
+
+
+async def test_late_response_does_not_confirm_the_list_of_another_router(harness):
+    await harness.store.put("servers/s1", READY)
+    await wait_for(lambda: is_ready(harness))
+    await asyncio.sleep(0.5)
+    entries = [make_snapshot_entry("s1", READY, 2)]
+    harness.server_watcher.apply_peer_entries(entries, 5.0, StoreEpoch(2))
+    harness.store.fault = lambda request: web.Response(status=503)
+    # The watch that waits is answered, and no call after it.
+    await harness.store.put("servers/s2", READY)
+    await wait_for(lambda: is_ready(harness, "s2"))
+    assert harness.server_watcher.age_s > 4.5
