Release a sound server that a restored list names for long

Found by the review: a server whose entry had lapsed right before a restoration, and which the copy lists with the report number of then, was held as left for up to 60 s by all routers, if its entry is not written again while nothing but its report number changes.

Entries of servers that run no longer expire within three reporting intervals, also in a restored store. An entry that is still listed after 10 s is renewed by its server, so the leaving ends then.

--- a/bilberryspring/process/server_leavings.py
+++ b/bilberryspring/process/server_leavings.py
@@ -32,6 +32,9 @@
 STATEMENT_LIFETIME_S = 600.0
 # A leaving that another router reported is held, and passed on, up to this age.
 REPORTED_LIFETIME_S = 30.0
+# Entries of servers that run no longer expire within this time after a restoration. One
+# that lasts is renewed by its server.
+MAX_LAPSED_ENTRY_AGE_S = 10.0
 # More servers than the largest fleet has; about 250 bytes each.
 MAX_LEAVINGS = 1024
 
@@ -56,6 +59,8 @@
         was last confirmed here.
     :param source: who said so.
     :param sent_count: number of reports that it was put into.
+    :param questioned_s: monotonic time at which a restored list first named the server
+        as ready nevertheless; ``None`` if none did.
     """
 
     started_at_ms: int
@@ -64,6 +69,7 @@
     learnt_s: float
     source: LeavingSource
     sent_count: int = 0
+    questioned_s: float | None = None
 
 
 class ServerLeavings:
@@ -190,10 +196,13 @@
         is_ordered = not is_from_router or known.report_number == 0
         if epoch == known.epoch and is_ordered:
             return False
-        return (server.started_at_ms, server.report_number) <= (
+        is_bound = (server.started_at_ms, server.report_number) <= (
             known.started_at_ms,
             known.report_number,
         )
+        if is_bound and known.questioned_s is None and epoch != known.epoch:
+            known.questioned_s = self._read_clock()
+        return is_bound
 
     def forget(self, server_id: InstanceId) -> None:
         """Forget the leaving of a server that is back.
@@ -264,7 +273,11 @@
 
 
 def _is_over(leaving: ServerLeaving, now_s: float) -> bool:
-    return now_s - leaving.learnt_s >= _LIFETIMES_S[leaving.source]
+    is_refuted = (
+        leaving.questioned_s is not None
+        and now_s - leaving.questioned_s >= MAX_LAPSED_ENTRY_AGE_S
+    )
+    return is_refuted or now_s - leaving.learnt_s >= _LIFETIMES_S[leaving.source]
 
 
 def _is_stated(leaving: ServerLeaving) -> bool:
