Let the test of pipelined requests wait until the first one is read

Seen: land-check beside load on, 1 failed, 2,451 passed: four pipelined requests got 404 and none 200. Cause: the change was in force before the router had read any of them, which the statuses show; each was answered as it had to be. The test now waits until the server runs the first one, and is as strict: at least one 200, each 200 run, no 200 after a 404.

--- a/bilberryspring/platform/tests/test_requests_beside_changes.py
+++ b/bilberryspring/platform/tests/test_requests_beside_changes.py
@@ -164,6 +164,10 @@
     reader, writer = await asyncio.open_connection(router.ip, router.port)
     for number in range(4):
         writer.write(encode_request(f"a{number}", b"x") + b"x")
+    # The first request is read before the change.
+    async with asyncio.timeout(5):
+        while not deployment.server.executed:
+            await asyncio.sleep(0.01)
     await apply_change(deployment, router, 4, CHANGES["route-removed"])
     statuses = [(await read_response(reader))[0] for _ in range(4)]
     writer.close()
