--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -481,6 +481,8 @@
         reservation = reservations[chosen.server_id]
         record = reservation.record
         usage.add(request.workspace, max(reservation.held_tokens, 1), now_s)
+        reservation.mean_requests = sum(r.total_requests for r in ready) / len(ready)
+        reservation.servers_without_room = len(ready) - len(views)
         record.change_requests(1, now_s)
         record.prompt_tokens += reservation.prompt_tokens
         record.held_tokens += reservation.held_tokens
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -51,6 +51,10 @@
         ``None`` if it belongs to none, or was answered.
     :param paused_servers: servers that were passed over since they want no requests,
         for the log.
+    :param mean_requests: mean number of requests at the servers of the pool before this
+        one, for the log.
+    :param servers_without_room: number of servers that could not take this request, for
+        the log.
     """
 
     record: ServerRecord
@@ -62,6 +66,8 @@
     is_prefill_done: bool = False
     trial: int | None = None
     paused_servers: str = ""
+    mean_requests: float = 0.0
+    servers_without_room: int = 0
 
     def mark_prefill_done(self) -> None:
         """Record that the response has begun, so that no prefill is pending."""
