Take the load bound over all servers of the pool, without exception

Cause: choose_server took its mean over the servers with room for the request and those in a pause. Servers without room, avoided or already tried were left out, though their requests, mostly few, count in the mean of the service; with one server in the list the bound always held. Where no server was within it, all were candidates. Shown by a call: two servers with 15 requests and four full ones with 1 each have a mean of 5.7 and a bound of 14.3, and one with 15 was chosen under a bound of 32.

Change: compute_load_limit takes the mean over the pool; while most servers are avoided or in a pause, over the others. A router uses 0.65 of the factor where it can, then the whole one. What finds room only beyond it waits, or is refused at once where the excess takes longer to end than the target allows, with that time as Retry-After. A repeated request at the head of a plain service's queue no longer holds up those that have a server left.

Ruled out for requests beyond the narrow bound: the least loaded server.

The three new tests of the dispatcher and the one of choose_server fail on the code before, as do the replaced ones: the bound of a full pool is now a refusal there, which is stricter.

--- a/bilberryspring/policy/direct_placement.py
+++ b/bilberryspring/policy/direct_placement.py
@@ -22,6 +22,7 @@
     "PREFERRED_HOMES",
     "ServerCandidate",
     "choose_server",
+    "compute_load_limit",
     "draw_uniform",
     "sample_servers",
     "rank_homes",
@@ -100,34 +101,48 @@
     return min(views, key=lambda view: (view.requests, view.server_id))
 
 
-def choose_server(
-    policy: str,
-    views: Sequence[ServerCandidate],
+def compute_load_limit(
     load_factor: float,
-    other_requests: Sequence[float] = (),
+    usable_requests: Sequence[float],
+    failing_requests: Sequence[float] = (),
+) -> float:
+    """Return the number of requests up to which a server gets another one.
+
+    The bound is a multiple of the mean over the whole pool. While most of its servers
+    fail, the others could not serve their requests within that bound, and the mean is
+    theirs alone.
+
+    :param load_factor: load bound, as a multiple of the mean number of requests.
+    :param usable_requests: number of requests at each server that doesn't fail, whether
+        or not it has room for this request.
+    :param failing_requests: the same for each server that is avoided or in a pause.
+
+    >>> compute_load_limit(1.5, [15, 15, 1, 1, 1, 3])
+    11.0
+    """
+    counted = [*usable_requests]
+    if not counted or len(failing_requests) <= len(counted):
+        counted += failing_requests
+    mean = sum(counted) / max(len(counted), 1)
+    return load_factor * mean + LOAD_LIMIT_MARGIN_REQUESTS
+
+
+def choose_server(
+    policy: str, views: Sequence[ServerCandidate], limit_requests: float
 ) -> ServerCandidate | None:
     """Choose among the servers whose load is within the load bound.
 
-    If every server exceeds the bound, all of them are candidates.
-
     :param policy: name of a registered placement policy.
-    :param views: servers of the pool that can accept one more request.
-    :param load_factor: load bound, as a multiple of the mean number of requests.
-    :param other_requests: requests at each server of the pool that accepts none now;
-        they count in the mean.
-    :returns: the chosen server, or ``None`` if ``views`` is empty.
+    :param views: servers of the pool that have room for one more request.
+    :param limit_requests: result of :func:`compute_load_limit` for the whole pool.
+    :returns: the chosen server, or ``None`` if no server with room is within the bound.
 
     >>> views = [ServerCandidate("a", 9, 0.1, True), ServerCandidate("b", 0, 0.2, True)]
-    >>> choose_server("shortest_start", views, 1.5).server_id
+    >>> choose_server("shortest_start", views, 8.75).server_id
     'b'
     """
-    if not views:
-        return None
-    total = sum(view.requests for view in views) + sum(other_requests)
-    mean = total / (len(views) + len(other_requests))
-    limit = load_factor * mean + LOAD_LIMIT_MARGIN_REQUESTS
-    bounded = [view for view in views if view.requests <= limit]
-    return DIRECT_PLACEMENT_POLICIES[policy](bounded or views)
+    bounded = [view for view in views if view.requests <= limit_requests]
+    return DIRECT_PLACEMENT_POLICIES[policy](bounded) if bounded else None
 
 
 def rank_homes(part_id: str, server_ids: Sequence[str]) -> list[str]:
--- a/bilberryspring/policy/tests/test_direct_placement.py
+++ b/bilberryspring/policy/tests/test_direct_placement.py
@@ -9,6 +9,7 @@
 from bilberryspring.policy.direct_placement import (
     ServerCandidate,
     choose_server,
+    compute_load_limit,
     rank_homes,
 )
 from bilberryspring.policy.tests.direct_replay import replay
@@ -27,11 +28,19 @@
     return sum(result.recomputed_tokens for result in results)
 
 
-def test_a_server_above_the_load_bound_is_chosen_only_if_all_exceed_it():
+def choose(views, load_factor, other_requests=(), failing_requests=()):
+    usable = [view.requests for view in views] + list(other_requests)
+    limit = compute_load_limit(load_factor, usable, failing_requests)
+    chosen = choose_server("shortest_start", views, limit)
+    return chosen and chosen.server_id
+
+
+def test_a_server_above_the_load_bound_is_not_chosen():
     views = [ServerCandidate("a", 12, 0.1, True), ServerCandidate("b", 1, 0.5, True)]
-    assert choose_server("shortest_start", views, 1.5).server_id == "b"
-    assert choose_server("shortest_start", views[:1], 1.5).server_id == "a"
-    assert choose_server("shortest_start", [], 1.5) is None
+    assert choose(views, 1.5) == "b"
+    assert choose(views[:1], 1.5) == "a"
+    assert choose(views[:1], 1.5, [1, 1]) is None
+    assert choose([], 1.5) is None
 
 
 def test_servers_that_accept_no_requests_count_in_the_mean_of_the_load_bound():
@@ -39,8 +48,23 @@
         ServerCandidate("a", 6, 0.1, True),
         ServerCandidate("b", 4, 0.2, True),
     ]
-    assert choose_server("shortest_start", views, 1.0).server_id == "a"
-    assert choose_server("shortest_start", views, 1.0, [0, 0]).server_id == "b"
+    assert choose(views, 1.0) == "a"
+    assert choose(views, 1.0, failing_requests=[0, 0]) == "b"
+    assert choose(views, 1.0, [0, 0]) == "b"
+
+
+def test_server_with_room_is_not_sent_beyond_the_mean_of_all_servers():
+    views = [ServerCandidate("a", 15, 0.1, True), ServerCandidate("b", 15, 0.1, True)]
+    assert choose(views, 2.0, [1, 1, 1, 1]) is None
+
+
+def test_servers_left_by_a_failure_of_most_are_bounded_by_their_own_mean():
+    views = [ServerCandidate("a", 9, 0.1, True), ServerCandidate("b", 7, 0.2, True)]
+    assert choose(views, 1.0, failing_requests=[0, 0, 0]) == "a"
+
+
+def test_servers_that_all_fail_are_bounded_by_their_own_mean():
+    assert compute_load_limit(1.0, [], [9, 7]) == compute_load_limit(1.0, [9, 7])
 
 
 def test_removing_a_server_moves_only_the_chats_with_their_home_there():
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -23,6 +23,7 @@
     ServerCandidate,
     choose_server,
     compute_home_wait,
+    compute_load_limit,
     compute_off_home_penalties,
     compute_unsampled_penalties,
     draw_uniform,
@@ -56,8 +57,8 @@
 # keeps the slots of a plain server busy.
 HEAVY_WORKSPACE_SERVICE_SHARE = 0.5
 HEAVY_WORKSPACE_ENGINE_SHARE = 0.85
-# Part of the load factor that one router uses; the rest is a margin for requests which
-# other routers send before their next reports arrive.
+# Part of the load factor that one router uses where it can; the rest is a margin for
+# requests which other routers send before their next reports arrive.
 LOAD_FACTOR_SHARE = 0.65
 MIN_RETRY_AFTER_S = 0.05
 # How often waiting requests are placed again while no request of this router ends:
@@ -121,7 +122,7 @@
 
         :param load_factor: highest load of a server, as a multiple of the mean load.
         """
-        self._load_factor = load_factor * LOAD_FACTOR_SHARE
+        self._load_factor = load_factor
 
     async def acquire(
         self, request: IncomingRequest, pool: PoolLimits, must_end_s: float
@@ -147,13 +148,18 @@
             # that wait for any engine come first.
             self.dispatch_waiting(pool.name)
         may_pass = not queue or priority_key < queue[0].sort_key[:3]
+        min_wait_s = 0.0
         if may_pass or pool.engine is not None:
             found = self._try_reserve(request, pool)
             if isinstance(found, Reservation):
                 return found
             if found.kind is ErrorKind.NO_INSTANCE:
                 return found
-        refusal = self._predict_refusal(request, pool, priority_key, must_end_s)
+            if found.kind is ErrorKind.LOAD_BOUND:
+                min_wait_s = found.retry_after_s
+        refusal = self._predict_refusal(
+            request, pool, priority_key, must_end_s, min_wait_s
+        )
         if refusal is not None:
             return refusal
         waiting = _WaitingRequest(
@@ -251,7 +257,7 @@
                 continue
             found = self._try_reserve(waiting.request, waiting.pool)
             if isinstance(found, Failure) and found.kind is not ErrorKind.NO_INSTANCE:
-                if waiting.pool.engine is None:
+                if waiting.pool.engine is None and not waiting.request.tried_server_ids:
                     break
                 continue
             waiting.result.set_result(found)
@@ -353,7 +359,13 @@
         pool: PoolLimits,
         priority_key: tuple[int, int, bool],
         must_end_s: float,
+        min_wait_s: float = 0.0,
     ) -> Failure | None:
+        """Refuse a request whose wait is not worth it.
+
+        :param min_wait_s: time in seconds until a server with room is within the load
+            bound.
+        """
         accepting = self._list_accepting(pool.name)
         service_s = self.get_mean_service_s(pool.name)
         view = QueueView(
@@ -368,7 +380,8 @@
             target_s=request.route.target_s,
             remaining_s=must_end_s - self._read_clock(),
         )
-        wait_s, allowed_s = predict_wait(view), compute_max_wait(view)
+        wait_s = max(predict_wait(view), min_wait_s)
+        allowed_s = compute_max_wait(view)
         if wait_s <= allowed_s:
             return None
         return make_failure(
@@ -468,16 +481,9 @@
                 ErrorKind.OVERLOADED, "the home engines are at capacity"
             )
         paused = [r for r in ready if r.pause.is_active(now_s)]
-        chosen = choose_server(
-            self._policy,
-            views,
-            self._load_factor,
-            [record.total_requests for record in paused],
-        )
-        if chosen is None:
-            return make_failure(
-                ErrorKind.OVERLOADED, "no server of the pool has free capacity"
-            )
+        chosen = self._choose(views, ready, now_s)
+        if isinstance(chosen, Failure):
+            return chosen
         reservation = reservations[chosen.server_id]
         record = reservation.record
         usage.add(request.workspace, max(reservation.held_tokens, 1), now_s)
@@ -492,6 +498,40 @@
         request.fetch_from = None if source is None else source.server
         return reservation
 
+    def _choose(
+        self, views: list[ServerCandidate], ready: list[ServerRecord], now_s: float
+    ) -> ServerCandidate | Failure:
+        """Choose among the servers with room so that the load bound holds for the pool.
+
+        :param views: servers with room for the request.
+        :param ready: all servers of the pool that accept new work.
+        :param now_s: monotonic time.
+        """
+        if not views:
+            return make_failure(
+                ErrorKind.OVERLOADED, "no server of the pool has free capacity"
+            )
+        usable, failing = [], []
+        for record in ready:
+            is_failing = record.pause.is_active(now_s) or record.is_avoided(now_s)
+            (failing if is_failing else usable).append(record.total_requests)
+        limit = compute_load_limit(self._load_factor, usable, failing)
+        usable_limit = compute_load_limit(
+            self._load_factor * LOAD_FACTOR_SHARE, usable or failing
+        )
+        chosen = choose_server(self._policy, views, min(limit, usable_limit))
+        chosen = chosen or choose_server(self._policy, views, limit)
+        if chosen is not None:
+            return chosen
+        least = min(view.requests for view in views)
+        service_s = self.get_mean_service_s(ready[0].server.pool)
+        return make_failure(
+            ErrorKind.LOAD_BOUND,
+            f"{len(views)} of {len(ready)} servers have room, each with {least:.1f}"
+            f" requests or more where the load bound is {limit:.1f}",
+            retry_after_s=service_s * (least - limit) / least,
+        )
+
     def _waits_for_home(
         self,
         request: IncomingRequest,
--- a/bilberryspring/request/tests/test_dispatcher.py
+++ b/bilberryspring/request/tests/test_dispatcher.py
@@ -1,10 +1,12 @@
 """Placement of requests on servers, and reservation of the servers' capacity."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from bilberryspring.capability.routing import ExecutionRule
+from bilberryspring.policy.direct_placement import LOAD_LIMIT_MARGIN_REQUESTS
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import make_server_table
 from bilberryspring.request.dispatcher import (
@@ -15,6 +17,7 @@
 from bilberryspring.request.errors import ErrorKind, Outcome
 from bilberryspring.request.reservations import Reservation
 from bilberryspring.request.tests.relay_fixtures import (
+    ENGINE,
     ENGINE_POOL,
     SERVICE_POOL,
     make_prompt,
@@ -285,3 +288,63 @@
         for number in range(4)
     ]
     assert {each.record.server.server_id for each in found} == {"c", "d"}
+
+
+def make_partly_full_pool():
+    """Return a dispatcher for two loaded engines with room and four without any."""
+    engine = replace(ENGINE, slots=64)
+    servers = [make_server(name, "writers", slots=64) for name in "abcdef"]
+    dispatcher, table = make_dispatcher_and_table(servers)
+    for name, record in table.records.items():
+        record.peer_load.requests = 15.0
+        if name in "cdef":
+            # A few requests of many tokens fill the memory.
+            record.peer_load.requests = 0.0
+            record.requests, record.held_tokens = 1, engine.cache_tokens
+    return dispatcher, table, replace(ENGINE_POOL, engine=engine)
+
+
+async def test_server_with_room_gets_nothing_beyond_the_bound_of_the_whole_pool():
+    dispatcher, table, pool = make_partly_full_pool()
+    request = make_prompt_request(make_prompt(("own", 1000)))
+    task = asyncio.create_task(acquire(dispatcher, request, pool))
+    await asyncio.sleep(0.05)
+    assert not task.done()
+    assert all(table.records[name].requests == 0 for name in "ab")
+    table.records["b"].peer_load.requests = 9.0
+    async with asyncio.timeout(0.1):
+        assert (await task).record is table.records["b"]
+
+
+async def test_request_is_refused_at_once_if_the_load_bound_holds_it_for_long():
+    dispatcher, table, pool = make_partly_full_pool()
+    service_s = 20.0
+    dispatcher._mean_service_s["writers"] = service_s
+    route = make_route(ExecutionRule.STREAM, timeout_s=60.0)
+    request = make_request(route, prompt=make_prompt(("own", 1000)))
+    async with asyncio.timeout(0.1):
+        refusal = await dispatcher.acquire(request, pool, read_boot_time_s() + 60)
+    assert refusal.outcome is Outcome.NOT_RUN
+    # The bound is twice the mean of 34 / 6 requests, and a margin.
+    excess_share = (15 - 2 * 34 / 6 - LOAD_LIMIT_MARGIN_REQUESTS) / 15
+    wait_s = service_s * excess_share
+    assert 0.99 * wait_s < refusal.retry_after_s < wait_s * RETRY_AFTER_SPREAD
+
+
+async def test_repeated_request_that_must_wait_does_not_hold_up_others():
+    servers = [make_server("a", slots=2), make_server("b", slots=2)]
+    dispatcher, table = make_dispatcher_and_table(servers)
+    reservations = await fill(dispatcher, 2 * MAX_SERVER_REQUESTS)
+    repeated = make_request(make_route(), request_id="r")
+    repeated.tried_server_ids.add("b")
+    tasks = [
+        asyncio.create_task(acquire(dispatcher, request))
+        for request in (repeated, make_request(make_route(), request_id="n"))
+    ]
+    await asyncio.sleep(0)
+    for each in reservations:
+        if each.record.server.server_id == "b":
+            dispatcher.release(each, 0.05)
+    async with asyncio.timeout(0.1):
+        assert (await tasks[1]).record is table.records["b"]
+    tasks[0].cancel()
