Place chats that their homes have no room for on sampled engines

Cause: of all engines, each router chose the one with the earliest predicted start. An engine that has just joined looks best to all routers until the next reports.

Change: besides the homes of its chat, a request is placed among four engines that are drawn by its id, as plain services do with two; the rest are the last resort.

--- a/bilberryspring/policy/direct_placement.py
+++ b/bilberryspring/policy/direct_placement.py
@@ -20,6 +20,7 @@
 __all__ = [
     "DIRECT_PLACEMENT_POLICIES",
     "PREFERRED_HOMES",
+    "SAMPLED_ENGINES",
     "ServerCandidate",
     "choose_server",
     "compute_load_limit",
@@ -66,6 +67,9 @@
 # Two random choices balance the load even when load reports are stale. With more
 # choices, routers select the same servers again.
 SAMPLED_SERVERS = 2
+# Engines besides a chat's homes among which a request is placed that its homes have no
+# room for. Some have no memory left, so there are more of them.
+SAMPLED_ENGINES = 4
 
 # Placing a request off its homes stores a further copy of the shared parts, in KV cache
 # that other chats need. The penalty of such a server is the number of shared tokens
@@ -164,21 +168,24 @@
     )
 
 
-def sample_servers(request_key: str, server_ids: Sequence[str]) -> list[str]:
-    """Sample ``SAMPLED_SERVERS`` servers for a request, pseudo-randomly by hash.
+def sample_servers(
+    request_key: str, server_ids: Sequence[str], count: int = SAMPLED_SERVERS
+) -> list[str]:
+    """Sample servers for a request, pseudo-randomly by hash.
 
     Load reports between routers are delayed. If every router chose the server with the
     lowest reported load, that server would be overloaded until the next reports.
 
     :param request_key: unique key of the request.
     :param server_ids: ids of the candidate servers.
+    :param count: number of servers to sample.
     :returns: the sampled ids, the same in every call for the same arguments.
 
     >>> len(sample_servers("q1", ["a", "b", "c"]))
     2
     """
     return heapq.nlargest(
-        SAMPLED_SERVERS, server_ids, key=lambda each: _hash(f"{request_key}/{each}")
+        count, server_ids, key=lambda each: _hash(f"{request_key}/{each}")
     )
 
 
@@ -250,20 +257,24 @@
 
 
 def compute_unsampled_penalties(
-    request_key: str, server_ids: Sequence[str], service_s: float
+    request_key: str,
+    server_ids: Sequence[str],
+    service_s: float,
+    count: int = SAMPLED_SERVERS,
 ) -> dict[str, float]:
-    """Return the placement penalty of each server that runs no engine.
+    """Return the placement penalty of each server that is not sampled for a request.
 
-    Sampled servers have no penalty, so the others are chosen only when both sampled
+    Sampled servers have no penalty, so the others are chosen only when the sampled
     servers are busy.
 
     :param request_key: unique key of the request.
     :param server_ids: ids of the candidate servers.
     :param service_s: mean service time in seconds, the penalty of a server that is not
         sampled.
+    :param count: number of servers to sample.
     :returns: penalty in seconds by server id.
     """
-    sampled = sample_servers(request_key, server_ids)
+    sampled = sample_servers(request_key, server_ids, count)
     return {each: 0.0 if each in sampled else service_s for each in server_ids}
 
 
--- a/bilberryspring/policy/tests/test_load_estimate.py
+++ b/bilberryspring/policy/tests/test_load_estimate.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bilberryspring.policy.tests.fleet_replay import Fleet, replay_fleet
+from bilberryspring.policy.tests.fleet_replay import CHAT_KINDS, Fleet, replay_fleet
 from bilberryspring.process import router_peers
 from bilberryspring.process.server_table import ServerRecord
 
@@ -72,3 +72,20 @@
     with_ratio = count_late()
     monkeypatch.setattr(ServerRecord, "predict_work_time_ratio", lambda *_: 1.0)
     assert with_ratio < 0.85 * count_late()
+
+
+@pytest.mark.parametrize("routers", [30, 68])
+def test_routers_do_not_all_send_to_a_server_that_joins_a_loaded_pool(routers):
+    fleet = Fleet(
+        routers=routers,
+        servers=20,
+        slots=64,
+        queued=192,
+        is_engine=True,
+        chat_kinds=CHAT_KINDS,
+        memory_tokens=244_000,
+        arrivals_per_s=1400.0,
+        joining=(7.5, 1),
+        deadline_s=8.0,
+    )
+    assert replay_fleet(fleet, 1, 3.0).compute_share_beyond_bound() <= 0.03
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -20,6 +20,7 @@
 from bilberryspring.policy.direct_placement import (
     DEFAULT_DIRECT_PLACEMENT_POLICY,
     PREFERRED_HOMES,
+    SAMPLED_ENGINES,
     ServerCandidate,
     choose_server,
     compute_home_wait,
@@ -453,7 +454,7 @@
             and home.server.server_id not in request.tried_server_ids
         ][:PREFERRED_HOMES]
         penalties_s = self._compute_start_penalties_s(
-            request, pool, records, preferred_homes, now_s
+            request, pool, records, homes, preferred_homes, now_s
         )
         usage = self._usage[pool.name]
         is_heavy = usage.is_heavy(request.workspace, now_s)
@@ -554,19 +555,29 @@
         pool: PoolLimits,
         records: list[ServerRecord],
         homes: list[ServerRecord],
+        preferred_homes: list[ServerRecord],
         now_s: float,
     ) -> dict[str, float]:
+        server_ids = [record.server.server_id for record in records]
+        service_s = self.get_mean_service_s(pool.name)
         if pool.engine is None:
-            server_ids = [record.server.server_id for record in records]
-            service_s = self.get_mean_service_s(pool.name)
             return compute_unsampled_penalties(
                 request.request_id, server_ids, service_s
             )
-        return compute_off_home_penalties(
-            [home.server.server_id for home in homes],
+        penalties_s = compute_off_home_penalties(
+            [home.server.server_id for home in preferred_homes],
             {each.server.server_id: each.compute_slowness(now_s) for each in records},
             0 if request.prompt is None else request.prompt.shared_tokens,
         )
+        home_ids = {home.server.server_id for home in homes}
+        others = [each for each in server_ids if each not in home_ids]
+        unsampled_s = compute_unsampled_penalties(
+            request.request_id, others, service_s, SAMPLED_ENGINES
+        )
+        return {
+            each: penalty_s + unsampled_s.get(each, 0.0)
+            for each, penalty_s in penalties_s.items()
+        }
 
     def _has_capacity(
         self,
