--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -69,6 +69,10 @@
         requests and completes those that it has.
     :param pause_s: time in seconds for which the server wants no requests of this
         router; zero if it stated none.
+    :param limit_per_s: requests per second that the server takes from all routers
+        together; ``None`` if it named no limit.
+    :param tells_limit: whether it shows that the server has this limit, or none; an
+        answer that names an unreadable one, or may be of another server, does not.
     """
 
     status: int
@@ -79,6 +83,8 @@
     is_close_delimited: bool = False
     is_leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
+    tells_limit: bool = False
 
     @property
     def is_success(self) -> bool:
--- /dev/null
+++ b/bilberryspring/connection/limit_messages.capnp
@@ -0,0 +1,28 @@
+@0xb7c2e95d1a4f8036;
+
+# Messages about request rates that backend servers state as their limit.
+
+struct LimitStatement {
+  server @0 :UInt64;
+  startedAtMs @1 :UInt64;
+  # Requests per second; zero if the server stated that it has no limit any more.
+  ratePerS @2 :Float64;
+  sentAgeMs @3 :UInt32;
+  receivedAgeMs @4 :UInt32;
+  statementId @5 :UInt32;
+}
+
+# A router asks another one for credit to send requests to a server, and is answered
+# with the same message.
+struct CreditMessage {
+  server @0 :UInt64;
+  startedAtMs @1 :UInt64;
+  number @2 :UInt32;
+  isReply @3 :Bool;
+  # Requests that the sender wants to send or, in a reply, may send.
+  credits @4 :UInt16;
+  # In a reply: when the next question may be granted.
+  retryMs @5 :UInt32;
+  # Latest statement of the server that the sender knows: none or one.
+  statements @6 :List(LimitStatement);
+}
--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -1,5 +1,7 @@
 @0xd3a1f0c27be94c15;
 
+using import "limit_messages.capnp".LimitStatement;
+
 # Messages between routers that call backend servers directly.
 
 struct RouterReport {
@@ -17,6 +19,7 @@
   # One more than the epoch of the store; zero if that is not known.
   nextStoreEpoch @11 :UInt64;
   leavings @12 :List(ServerLeaving);
+  limits @13 :List(LimitStatement);
 }
 
 struct ServerLeaving {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -11,6 +11,11 @@
 import capnp
 
 from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.limit_messages import (
+    LimitReport,
+    decode_limit_report,
+    encode_limit_report,
+)
 from bilberryspring.connection.load_messages import NameHash
 from bilberryspring.identifiers import InstanceId, StoreEpoch
 from bilberryspring.malformed_input import MALFORMED_ERRORS
@@ -36,6 +41,7 @@
 MAX_STATEMENTS = 12
 MAX_SUSPECTS = 6
 MAX_LEAVINGS = 4
+MAX_LIMITS = 8
 MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
@@ -135,6 +141,7 @@
     :param store_epoch: history of the store in which it confirmed this list; ``None``
         if that is not known.
     :param leavings: servers that left before the store was restored.
+    :param limits: statements of servers on the rate of requests that they take.
     """
 
     sender: InstanceId
@@ -150,6 +157,7 @@
     statements: tuple[ServerStatement, ...] = ()
     store_epoch: StoreEpoch | None = None
     leavings: tuple[LeavingReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,7 +197,7 @@
         module are left out.
     :returns: packed Cap'n Proto bytes.
     """
-    leavings = report.leavings[:MAX_LEAVINGS]
+    leavings, limits = report.leavings[:MAX_LEAVINGS], report.limits[:MAX_LIMITS]
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
@@ -210,7 +218,7 @@
                 "heldTokens": min(load.held_tokens, 0xFFFF_FFFF),
                 "isSuspected": load.is_suspected,
             }
-            for load in report.loads[: MAX_LOADS - len(leavings)]
+            for load in report.loads[: MAX_LOADS - len(leavings) - len(limits)]
         ],
         statements=[
             {
@@ -231,6 +239,7 @@
             }
             for leaving in leavings
         ],
+        limits=[encode_limit_report(limit) for limit in limits],
     )
     return message.to_bytes_packed()
 
@@ -326,6 +335,7 @@
                 )
                 for leaving in message.leavings
             ),
+            limits=tuple(decode_limit_report(limit) for limit in message.limits),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -338,6 +348,7 @@
         ("statements", len(message.statements), MAX_STATEMENTS),
         ("suspects", len(message.suspects), MAX_SUSPECTS),
         ("leavings", len(message.leavings), MAX_LEAVINGS),
+        ("limits", len(message.limits), MAX_LIMITS),
     ]
     if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from collections import deque
+from dataclasses import replace
 
 from bilberryspring.capability.backend_calls import (
     BackendResponseHead,
@@ -50,7 +51,10 @@
 SHEDDING_STATUS = 503
 # Longest time for which a server can keep requests of this router away.
 MAX_PAUSE_S = 60.0
-_SECONDS_PATTERN = re.compile(rb"\d{1,9}(\.\d{0,30})?|\.\d{1,30}")
+# Lower limits, also of zero, count as this one: a request now and then shows whether
+# the limit lasts.
+MIN_LIMIT_PER_S = 0.1
+_DECIMAL_PATTERN = re.compile(rb"\d{1,9}(\.\d{0,30})?|\.\d{1,30}")
 
 
 class ServerExchange:
@@ -104,8 +108,28 @@
                 is_leaving = self._decode_or_record(
                     "server_leaving", leaving, _decode_leaving
                 )
-                pause_s = self._read_pause_s(head)
-                return _decode_response_head(head, load, bool(is_leaving), pause_s)
+                return replace(
+                    _decode_response_head(head, load, bool(is_leaving)),
+                    pause_s=self._read_pause_s(head),
+                    **self._read_limit(head),
+                )
+
+    def _read_limit(self, head: ResponseHead) -> dict[str, object]:
+        """Return what a response shows of the server's limit.
+
+        Of several different values, the lowest readable one applies.
+        """
+        values = _list_values(head, wire.SERVER_LIMIT)
+        decoded = {self._decode_or_record("limit", v, _decode_limit) for v in values}
+        limits = decoded - {None}
+        if len(limits) > 1:
+            self._record_unreadable("limit", b", ".join(values), "several values")
+        if 0.0 in limits:
+            self._record_unreadable("limit", b", ".join(values), "a limit of zero")
+        if limits:
+            limit_per_s = max(min(limits), MIN_LIMIT_PER_S)
+            return {"limit_per_s": limit_per_s, "tells_limit": _is_own(head)}
+        return {"limit_per_s": None, "tells_limit": _is_own(head) and not values}
 
     def _read_pause_s(self, head: ResponseHead) -> float:
         """Return for how long a server that sheds load wants no requests.
@@ -114,13 +138,7 @@
         """
         if head.status != SHEDDING_STATUS:
             return 0.0
-        values = sorted(
-            {
-                value.strip()
-                for name, value in head.headers
-                if name.lower() == wire.RETRY_AFTER
-            }
-        )
+        values = _list_values(head, wire.RETRY_AFTER)
         decoded = {self._decode_or_record("pause", v, _decode_pause_s) for v in values}
         pauses_s = decoded - {None}
         pause_s = max(pauses_s, default=0.0)
@@ -312,7 +330,7 @@
 
 
 def _decode_response_head(
-    head: ResponseHead, load: ServerLoad | None, is_leaving: bool, pause_s: float
+    head: ResponseHead, load: ServerLoad | None, is_leaving: bool
 ) -> BackendResponseHead:
     has_coding = head.find_header(b"content-encoding") is not None
     return BackendResponseHead(
@@ -330,7 +348,23 @@
         is_close_delimited=not head.is_self_delimited,
         # Another server sends this status at the address of the one that was called.
         is_leaving=is_leaving and head.status != MISDIRECTED_STATUS,
-        pause_s=pause_s,
+    )
+
+
+def _list_values(head: ResponseHead, header: bytes) -> list[bytes]:
+    """Return the different values of a header."""
+    return sorted(
+        {value.strip() for name, value in head.headers if name.lower() == header}
+    )
+
+
+def _is_own(head: ResponseHead) -> bool:
+    """Return whether a response is of the server that the request was sent to."""
+    if head.status == MISDIRECTED_STATUS:
+        return False
+    return any(
+        head.find_header(name) is not None
+        for name in (wire.RESPONSE_SEAL, wire.NOT_EXECUTED)
     )
 
 
@@ -372,13 +406,24 @@
     return value == b"1"
 
 
+def _decode_limit(value: bytes) -> float | Failure:
+    """Decode a limit in requests per second, which may have a fraction.
+
+    >>> _decode_limit(b"5.4")
+    5.4
+    """
+    if _DECIMAL_PATTERN.fullmatch(value) is None:
+        return _make_decode_failure("it is not a number of requests per second")
+    return float(value)
+
+
 def _decode_pause_s(value: bytes) -> float | Failure:
     """Decode a time in seconds, which may have a fraction.
 
     >>> _decode_pause_s(b"1.5")
     1.5
     """
-    if _SECONDS_PATTERN.fullmatch(value) is None:
+    if _DECIMAL_PATTERN.fullmatch(value) is None:
         return _make_decode_failure("it is not a number of seconds")
     return float(value)
 
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -35,6 +35,7 @@
 )
 from bilberryspring.process.addresses import split_address
 from bilberryspring.process.clock import read_boot_time_s
+from bilberryspring.process.credit_exchange import make_credit_exchange
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
 from bilberryspring.process.result_fields import COMPLETE_RESULT
 from bilberryspring.process.router_metrics import make_router_metrics
@@ -92,10 +93,17 @@
         self._servers = make_server_table()
         self._store = make_metadata_store(settings.store_address)
         self._server_calls = make_server_calls()
+        self._credits = make_credit_exchange(
+            settings.ip,
+            self._servers.limits,
+            lambda: self._peers.list_addresses(),
+            lambda data, ip: self._peers.send_datagram(data, ip),
+        )
         self._dispatcher = make_dispatcher(
             self._servers,
             AvailabilityZone(settings.availability_zone),
             settings.load_factor,
+            credits=self._credits,
         )
         self._retry_budget = make_fleet_retry_budget(
             settings.retry_ratio,
@@ -136,6 +144,7 @@
         )
         self._server_watcher.is_store_watcher = self._peers.is_watcher
         self._configuration_watcher.is_store_watcher = self._peers.is_watcher
+        self._peers.on_credit_message = self._credits.receive
         self._peers.add_addresses(list(settings.seed_ips))
         self._discovery = make_router_discovery(
             self._store,
@@ -172,6 +181,10 @@
                 "Contents that requests must not have because servers crash on them",
                 self._suspects.count_quarantined,
             ),
+            "servers_limited": (
+                "Servers that limit the rate of requests",
+                self._servers.limits.count_limited,
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
--- a/bilberryspring/platform/tests/platform_standin.py
+++ b/bilberryspring/platform/tests/platform_standin.py
@@ -260,6 +260,8 @@
     :ivar refusal_headers: headers of the refusal that each request gets, such as the
         time for which the server wants none; ``None`` to execute requests.
     :ivar refusal_status: status of these refusals.
+    :ivar limit: limit in requests per second that each answer names, as text; ``None``
+        to name none.
     :ivar refused_at_s: loop times of the refusals.
     :ivar executed_at_s: loop times at which the executed requests arrived.
     """
@@ -272,6 +274,7 @@
         self.executed_at_s = []
         self.refusal_headers = None
         self.refusal_status = 503
+        self.limit = None
         self.refused_at_s = []
         self._runner = None
         self.port = 9  # until it is started
@@ -304,6 +307,9 @@
     def state_load(self):
         return "1,0,8"
 
+    def make_limit_headers(self, request_id):
+        return {} if self.limit is None else {"Server-Limit": self.limit}
+
     async def _handle_request(self, request):
         if request.headers["Expect-Replica"] != self.server_id:
             request_id = request.headers["Attempt-Id"]
@@ -318,6 +324,7 @@
                     "Attempt-Id": request.headers["Attempt-Id"],
                     "Not-Executed": "1",
                     **self.refusal_headers,
+                    **self.make_limit_headers(request.headers["Attempt-Id"]),
                 },
             )
         self.executed.append((request, body))
@@ -329,7 +336,9 @@
         }
         if not request.path.startswith("/drafts/"):
             await asyncio.sleep(self.delay_s)
+            headers.update(self.make_limit_headers(headers["Attempt-Id"]))
             return web.Response(body=b"done " + body, headers=headers)
+        headers.update(self.make_limit_headers(headers["Attempt-Id"]))
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         for event in list_events(request, self.event_count):
--- a/bilberryspring/platform/tests/soak_checks.py
+++ b/bilberryspring/platform/tests/soak_checks.py
@@ -22,6 +22,11 @@
 # the time for which it wants none.
 MAX_PAUSE_DELAY_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
+# What a server may get in any such window: this multiple of the limit that it states,
+# and a few more, from routers that passed on an answer with it this long before.
+LIMIT_WINDOW_S = 1.0
+LIMIT_FACTOR, LIMIT_ALLOWANCE = 1.5, 5
+LIMIT_LEARNING_S = 0.5
 SETTLE_TIME_S = 5.0
 LOAD_FACTOR, LOAD_ALLOWANCE = 2.0, 3
 MIN_SERVED_RATIO = 0.95
@@ -192,6 +197,45 @@
             yield f"{len(in_pause)} requests of router {process} in {refusal}"
 
 
+def check_limits(harness):
+    """Check that routers together send a server no more than the limit it states."""
+    processes = {
+        call.request_id: (call.router, call.generation) for call in harness.calls
+    }
+    ended_s = {call.request_id: call.ended_s for call in harness.calls}
+    for period in harness.limit_periods:
+        known_s = {}
+        for answered_s, request_id in period.answered:
+            passed_on_s = max(answered_s, ended_s.get(request_id, answered_s))
+            process = processes.get(request_id)
+            known_s[process] = min(known_s.get(process, passed_on_s), passed_on_s)
+        counted_s = sorted(
+            arrival.arrived_s
+            for arrival in harness.arrivals
+            if arrival.server == period.server
+            and arrival.arrived_s < period.end_s
+            and arrival.arrived_s
+            > known_s.get(processes.get(arrival.request_id), period.end_s)
+            + LIMIT_LEARNING_S
+            # Answers and messages of routers do not arrive while these are cut off.
+            and not overlaps_fault(
+                harness,
+                arrival.arrived_s - SETTLE_TIME_S,
+                arrival.arrived_s,
+                "freeze",
+                "server",
+            )
+        )
+        allowed = LIMIT_FACTOR * period.rate_per_s * LIMIT_WINDOW_S + LIMIT_ALLOWANCE
+        for number, begin_s in enumerate(counted_s):
+            window = [
+                at_s for at_s in counted_s[number:] if at_s <= begin_s + LIMIT_WINDOW_S
+            ]
+            if len(window) > allowed:
+                yield f"{len(window)} requests in {LIMIT_WINDOW_S} s in {period}"
+                break
+
+
 def check_deadlines(harness):
     for call in harness.calls:
         overdue_s = call.ended_s - call.sent_s - DEADLINE_S
@@ -240,6 +284,7 @@
     check_configuration,
     check_stops,
     check_pauses,
+    check_limits,
     check_deadlines,
     check_load_bound,
     check_recovery,
--- a/bilberryspring/platform/tests/soak_harness.py
+++ b/bilberryspring/platform/tests/soak_harness.py
@@ -28,6 +28,7 @@
     "CallRecord",
     "ConfigurationChange",
     "InjectedFault",
+    "LimitPeriod",
     "Refusal",
     "RouterStop",
     "ServerRemoval",
@@ -150,6 +151,20 @@
     end_s: float
 
 
+@dataclass
+class LimitPeriod:
+    """Time in which a server stated one limit.
+
+    :param answered: time and request id of each answer that named it.
+    """
+
+    server: str
+    rate_per_s: float
+    begin_s: float
+    end_s: float
+    answered: list[tuple[float, str]] = field(default_factory=list, repr=False)
+
+
 class SoakServer(ServerStandin):
     """A server behind a proxy, which records the time of each arrival."""
 
@@ -161,6 +176,7 @@
         self.is_removed = False
         self.answer_fault = None
         self.shedding_end_s = 0.0
+        self.limit_period = None
         self.rng = random.Random(server_id)
         self._harness = harness
 
@@ -175,6 +191,24 @@
     def state_load(self):
         return f"{self.running},0,8"
 
+    def state_limit(self, rate_per_s):
+        """State a limit from now on, or that there is none."""
+        now_s = self._harness.now_s()
+        if self.limit_period is not None:
+            self.limit_period.end_s = now_s
+        self.limit = self.limit_period = None
+        if rate_per_s is not None:
+            self.limit = f"{rate_per_s:.2f}"
+            period = LimitPeriod(self.server_id, rate_per_s, now_s, now_s + 1e9)
+            self.limit_period = period
+            self._harness.limit_periods.append(period)
+
+    def make_limit_headers(self, request_id):
+        if self.limit_period is not None:
+            answer = self._harness.now_s(), request_id
+            self.limit_period.answered.append(answer)
+        return super().make_limit_headers(request_id)
+
     async def _handle_request(self, request):
         left_s = self.shedding_end_s - self._harness.now_s()
         if left_s > 0:
@@ -188,6 +222,7 @@
                 "Attempt-Id": request_id,
                 "Not-Executed": "1",
                 "Retry-After": str(left_s),
+                **self.make_limit_headers(request_id),
             }
             return web.Response(status=503, headers=headers)
         if request.headers["Expect-Replica"] == self.server_id:
@@ -246,9 +281,11 @@
         self.arrivals, self.calls, self.injected_faults = [], [], []
         self.configuration_changes, self.server_removals, self.router_stops = [], [], []
         self.refusals = []
+        self.limit_periods = []
         self.recovered_s = 0.0
         # Shedding has a generator of its own, so that seeds keep their faults.
         self._shedding_rng = random.Random(f"shedding/{seed}")
+        self._limit_rng = random.Random(f"limits/{seed}")
         self.configuration = {}
         self._ids = itertools.count()
         self._versions = itertools.count(4, 3)
@@ -358,7 +395,10 @@
             )
             for number in range(CALLER_COUNT)
         ]
-        fault_tasks = [asyncio.create_task(self._shed_load_until(end_s))]
+        fault_tasks = [
+            asyncio.create_task(self._shed_load_until(end_s)),
+            asyncio.create_task(self._limit_rates_until(end_s)),
+        ]
         while self.now_s() < end_s:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
             inject_fault = self.rng.choice(self.fault_injectors)
@@ -383,6 +423,23 @@
             rng.choice(listed).shedding_end_s = self.now_s() + duration_s
             await asyncio.sleep(duration_s)
 
+    async def _limit_rates_until(self, end_s):
+        """Let one server after the other, or all of a pool, state limits for a time."""
+        rng = self._limit_rng
+        while self.now_s() < end_s:
+            await asyncio.sleep(rng.uniform(0.1, 0.8))
+            listed = [each for each in self.servers.values() if not each.is_removed]
+            chosen = rng.choice(listed)
+            limited = [chosen]
+            if rng.random() < 0.3:
+                limited = [each for each in listed if each.pool == chosen.pool]
+            for _ in range(rng.choice((1, 2))):
+                for server in limited:
+                    server.state_limit(rng.uniform(2.0, 20.0))
+                await asyncio.sleep(rng.uniform(1.0, 3.0))
+            for server in limited:
+                server.state_limit(None)
+
     async def _check_readiness(self):
         """Check the readiness of each router, as the platform's load balancer does."""
         while True:
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -500,3 +500,62 @@
     found_s, unreadable = await read_pause_s(start, make_refusal("2", status=status))
     assert found_s == 0.0
     assert not unreadable
+
+
+async def read_limit(start, *values, status=200):
+    """Return what a response with a limit shows, and counts of unreadable values."""
+    lines = "".join(f"Server-Limit: {value}\r\n" for value in values)
+    response = make_response("a", lines).replace("200 OK", f"{status} Status")
+    server, calls = await start(ScriptedServer(response))
+    head = await send_request(calls, server, "a")
+    return (head.limit_per_s, head.tells_limit), calls.unreadable_values.counts
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_per_s"),
+    [
+        ((), None),
+        (("5.4",), 5.4),
+        ((" 0.30000000000000004 ",), 0.30000000000000004),
+        (("12", "12"), 12.0),
+        (("0.0001",), backend_calls.MIN_LIMIT_PER_S),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 500])
+async def test_limit_of_a_server_is_decoded(start, values, limit_per_s, status):
+    found, unreadable = await read_limit(start, *values, status=status)
+    assert found == (limit_per_s, True)
+    assert not unreadable
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["", "-5", "nan", "inf", "1e3", "5,4", "none", "9" * 10_000, "\u00b2"],
+)
+async def test_unreadable_limit_shows_neither_a_limit_nor_its_end(start, value):
+    found, unreadable = await read_limit(start, value)
+    assert found == (None, False)
+    assert unreadable == {"limit": 1}
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_per_s"),
+    [
+        (("0",), backend_calls.MIN_LIMIT_PER_S),
+        (("7", "5"), 5.0),
+        (("soon", "5"), 5.0),
+    ],
+)
+async def test_doubtful_limit_is_counted_and_the_lowest_applies(
+    start, values, limit_per_s
+):
+    found, unreadable = await read_limit(start, *values)
+    assert found == (limit_per_s, True)
+    assert unreadable == {"limit": 1}
+
+
+async def test_limit_in_an_answer_of_another_server_is_not_that_of_the_called_one(
+    start,
+):
+    (_, tells_limit), _ = await read_limit(start, "5", status=421)
+    assert not tells_limit
--- a/bilberryspring/platform/wire_names.py
+++ b/bilberryspring/platform/wire_names.py
@@ -16,6 +16,7 @@
     "RESPONSE_SEAL",
     "RETRY_AFTER",
     "SERVER_LEAVING",
+    "SERVER_LIMIT",
     "SERVER_LOAD",
     "STORE_EPOCH",
     "TENANT",
@@ -36,6 +37,7 @@
 # ``1`` in all responses of a server that leaves.
 SERVER_LEAVING = b"server-leaving"
 # Three integers: running requests, queued requests and request slots.
+SERVER_LIMIT = b"server-limit"
 SERVER_LOAD = b"replica-load"
 # Proof that the server itself produced the response body.
 RESPONSE_SEAL = b"response-seal"
--- a/bilberryspring/policy/direct_admission.py
+++ b/bilberryspring/policy/direct_admission.py
@@ -7,6 +7,7 @@
 the engines and block short urgent requests.
 """
 
+import math
 from dataclasses import dataclass
 
 __all__ = [
@@ -48,6 +49,8 @@
         response.
     :param target_s: latency target in seconds.
     :param remaining_s: time in seconds until the request's deadline.
+    :param limited_per_s: requests per second that this router can send to servers which
+        limit their rate; the slots of these are not in ``pool_slots``.
     """
 
     queued_ahead: int
@@ -58,6 +61,7 @@
     target_event_s: float
     target_s: float
     remaining_s: float
+    limited_per_s: float = 0.0
 
 
 def predict_wait(view: QueueView) -> float:
@@ -65,19 +69,23 @@
 
     Slots become free at the rate at which this router's requests end: its concurrency
     divided by the mean service time. Its concurrency is at least an equal share of the
-    pool's slots.
+    pool's slots. Servers that limit the rate of requests add to it.
 
     :param view: state of the queue.
-    :returns: predicted wait in seconds.
+    :returns: predicted wait in seconds; infinite if no request can be sent.
 
     >>> predict_wait(QueueView(3, 0, 16, 1, 0.25, 0.25, 0.5, 3.0))
     0.0625
     >>> predict_wait(QueueView(3, 0, 16, 8, 0.25, 0.25, 0.5, 3.0))
     0.5
     """
+    if not view.pool_slots:
+        rate_per_s = view.limited_per_s
+        return (view.queued_ahead + 1) / rate_per_s if rate_per_s else math.inf
     concurrency = max(
         view.running_requests, view.pool_slots / max(view.router_count, 1), 1.0
     )
+    concurrency += view.limited_per_s * view.service_s
     return (view.queued_ahead + 1) * view.service_s / concurrency
 
 
--- a/bilberryspring/policy/tests/fleet_replay.py
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -16,6 +16,7 @@
 from bilberryspring.capability.backend_calls import ServerLoad
 from bilberryspring.capability.routing import ExecutionRule, PoolLimits
 from bilberryspring.load.virtual_clock import run_on_virtual_clock
+from bilberryspring.process.credit_exchange import make_credit_exchange
 from bilberryspring.process.router_peers import make_router_peers
 from bilberryspring.process.server_table import make_server_table
 from bilberryspring.request.dispatcher import make_dispatcher
@@ -326,6 +327,11 @@
     def make_transport(self, ip):
         return _Transport(self, ip)
 
+    def deliver(self, data, sender, ip):
+        """Hand a datagram to the router at an address, if there is one."""
+        if ip in self.peers:
+            self.peers[ip].datagram_received(data, (sender, PORT))
+
 
 class _Transport:
     def __init__(self, network, ip):
@@ -340,12 +346,8 @@
         network.sent_bytes[self.ip] += len(data) + 28
         if network.rng.random() < network.datagram_loss:
             return
-        asyncio.get_running_loop().call_later(
-            NETWORK_DELAY_S,
-            network.peers[address[0]].datagram_received,
-            data,
-            (self.ip, PORT),
-        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(NETWORK_DELAY_S, network.deliver, data, self.ip, address[0])
 
 
 class _Feed:
@@ -359,12 +361,23 @@
 class Router:
     """Router that exchanges reports with the others of a network."""
 
-    def __init__(self, number, network, estimator):
+    def __init__(self, number, network, estimator="weighted"):
         loop = asyncio.get_running_loop()
         self.ip = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}"
         self.table = make_server_table(estimator, loop.time)
+        self.credits = make_credit_exchange(
+            self.ip,
+            self.table.limits,
+            lambda: self.peers.list_addresses(),
+            lambda data, ip: self.peers.send_datagram(data, ip),
+            loop.time,
+        )
         self.dispatcher = make_dispatcher(
-            self.table, "z", LOAD_BOUND_FACTOR, read_clock=loop.time
+            self.table,
+            "z",
+            LOAD_BOUND_FACTOR,
+            read_clock=loop.time,
+            credits=self.credits,
         )
         self.suspects = make_suspect_contents(loop.time)
         self.peers = make_router_peers(
@@ -379,6 +392,7 @@
             self.suspects,
             read_clock=loop.time,
         )
+        self.peers.on_credit_message = self.credits.receive
         network.peers[self.ip] = self.peers
         self.peers._transport = network.make_transport(self.ip)
 
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -13,9 +13,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from bilberryspring.connection.limit_messages import CREDIT_PREFIX
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import (
     MAX_LEAVINGS,
+    MAX_LIMITS,
     MAX_LOADS,
     MAX_STATEMENTS,
     MAX_SUSPECTS,
@@ -128,6 +130,7 @@
     :param has_fast_link: whether other routers should prefer this one for snapshots and
         as a watcher.
     :param read_clock: monotonic clock, in seconds.
+    :ivar on_credit_message: called with each credit message and its sender's address.
     """
 
     def __init__(
@@ -155,7 +158,9 @@
         self._apply_snapshot = apply_snapshot
         self._suspects = suspects
         suspects.news_callbacks.append(self._report_soon)
+        servers.limits.news_callbacks.append(self._report_soon)
         self._has_fast_link = has_fast_link
+        self.on_credit_message: Callable[[bytes, str], None] = lambda data, ip: None
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
         self._news_timer: asyncio.TimerHandle | None = None
@@ -214,6 +219,19 @@
             if ip != self._ip and ip not in refused:
                 self._address_added_s[ip] = now_s
 
+    def send_datagram(self, data: bytes, ip: str) -> None:
+        """Send a datagram to another router; it may be lost.
+
+        :param data: content of the datagram.
+        :param ip: IP address of the router.
+        """
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, (ip, self._port))
+
+    def list_addresses(self) -> list[str]:
+        """Return the IP addresses of the other routers that are known."""
+        return [*{*self._peer_views, *self._address_added_s}]
+
     def count_routers(self) -> int:
         """Return the estimated number of routers, including this one."""
         now_s = self._read_clock()
@@ -227,9 +245,14 @@
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Store a report, unless it is malformed or older than the stored one.
 
+        A message about credit is passed on.
+
         :param data: content of the datagram.
         :param address: IP address and port of the sender.
         """
+        if data.startswith(CREDIT_PREFIX):
+            self.on_credit_message(data, address[0])
+            return
         report = decode_report(data)
         if isinstance(report, Failure):
             log_event("bad_frame", level="WARNING", peer=address[0], why=report.reason)
@@ -253,6 +276,7 @@
                 self._servers.add_statement(record, statement.requests, statement.age_s)
         self._suspects.merge(report.suspects)
         self._servers.merge_leavings(report.leavings)
+        self._servers.limits.merge(report.limits, report.sender)
 
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
@@ -277,6 +301,8 @@
         self._news_timer = None
         self._news_sent_s = self._read_clock()
         self._send_report(self._news_sent_s, is_news=True)
+        if self._servers.limits.has_news:
+            self._report_soon()
 
     def _remove_expired(self, now_s: float) -> None:
         for ip, view in list(self._peer_views.items()):
@@ -311,6 +337,7 @@
         leavings = self._servers.leavings.list_reports(
             MAX_LEAVINGS, self._feed.store_epoch
         )
+        limits = self._servers.limits.list_reports(MAX_LIMITS)
         self._sequence += 1
         data = encode_report(
             RouterReport(
@@ -327,16 +354,19 @@
                 self._list_statements(now_s),
                 self._feed.store_epoch,
                 leavings,
+                limits,
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
         fanout = min(_choose_fanout(size_bytes), len(targets))
-        if suspects or leavings:
+        if suspects or leavings or limits:
             affordable = max(int(self._budget_bytes // size_bytes), 0)
             fanout = min(fanout, affordable if is_news else max(affordable, 1))
         if not is_news:
             self._fanout = fanout
         self._budget_bytes -= fanout * size_bytes
+        if fanout:
+            self._servers.limits.mark_reported(limits)
         for ip in random.sample(targets, fanout):
             self._transport.sendto(data, (ip, self._port))
 
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -24,6 +24,7 @@
     LeavingSource,
     make_server_leavings,
 )
+from bilberryspring.process.server_limits import make_server_limits
 from bilberryspring.process.server_pauses import ServerPause, make_server_pauses
 
 __all__ = [
@@ -414,6 +415,7 @@
     :param load_estimator: registered name of the estimator of other routers' requests.
     :param read_clock: monotonic clock, in seconds.
     :ivar leavings: servers that left.
+    :ivar limits: rates of requests that servers stated as their limit.
     """
 
     def __init__(
@@ -426,6 +428,7 @@
         self._records_by_hash: dict[NameHash, ServerRecord] = {}
         self.records: dict[InstanceId, ServerRecord] = {}
         self.leavings = make_server_leavings(read_clock)
+        self.limits = make_server_limits(read_clock, self._find_name)
         self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
@@ -615,6 +618,10 @@
         self._rebuild_index()
         return self._records_by_hash.get(server)
 
+    def _find_name(self, server: NameHash) -> str:
+        record = self.find_by_hash(server)
+        return f"{server:016x}" if record is None else record.server.server_id
+
     def update_peer_loads(
         self, reported: dict[NameHash, PeerLoad], heard_share: float
     ) -> None:
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -8,7 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bilberryspring.capability.routing import IncomingRequest, PoolLimits
+from bilberryspring.capability.routing import (
+    BackendServer,
+    IncomingRequest,
+    PoolLimits,
+)
 from bilberryspring.identifiers import AvailabilityZone, PoolName
 from bilberryspring.policy.direct_admission import (
     QueueView,
@@ -30,7 +34,14 @@
     draw_uniform,
 )
 from bilberryspring.process.clock import read_boot_time_s
+from bilberryspring.process.credit_exchange import (
+    CreditExchange,
+    CreditState,
+    ServerKey,
+    make_credit_exchange,
+)
 from bilberryspring.process.server_table import ServerRecord, ServerTable
+from bilberryspring.request.decaying_sum import DecayingSum
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.load_shedding import LoadShedder, make_load_shedder
 from bilberryspring.request.recent_usage import (
@@ -62,13 +73,18 @@
 # requests which other routers send before their next reports arrive.
 LOAD_FACTOR_SHARE = 0.65
 MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 600.0
 # How often waiting requests are placed again while no request of this router ends:
 # capacity also becomes free through requests of the other routers.
 REDISPATCH_INTERVAL_S = 0.03
 # When a caller may come back for which no server is left, but some are listed.
 NO_SERVER_RETRY_AFTER_S = 0.5
-# Servers in a pause that a log line names.
+# Servers that were passed over for one reason and that a log line names.
 MAX_NAMED_SERVERS = 3
+# Servers that are asked about credit for one request before it goes elsewhere.
+MAX_QUESTIONS = 2
+# Time over which the requests to servers that limit their rate are averaged.
+LIMITED_RATE_TIME_S = 4.0
 # Waiting requests that are tried at a time; the others wait behind these.
 MAX_DISPATCH_SCAN = 8
 # Upper bound of the random factor on the predicted wait that spreads the retries of
@@ -92,6 +108,7 @@
     :param load_factor: highest load of a server, as a multiple of the mean load.
     :param read_clock: clock of the requests' deadlines, in seconds.
     :param policy: registered name of the policy that chooses a server.
+    :param credits: credit for servers that limit the rate of requests.
     :ivar routers: number of routers that send to the same servers.
     """
 
@@ -102,8 +119,14 @@
         load_factor: float,
         read_clock: Callable[[], float] = read_boot_time_s,
         policy: str = DEFAULT_DIRECT_PLACEMENT_POLICY,
+        credits: CreditExchange | None = None,
     ):
         self._read_clock = read_clock
+        self._credits = credits or make_credit_exchange("", servers.limits)
+        self._credits.credit_callbacks.append(self._use_credit)
+        self._limited_rates: defaultdict[PoolName, DecayingSum] = defaultdict(
+            lambda: DecayingSum(LIMITED_RATE_TIME_S)
+        )
         self._policy = policy
         self._servers = servers
         self._zone = zone
@@ -151,7 +174,7 @@
         may_pass = not queue or priority_key < queue[0].sort_key[:3]
         min_wait_s = 0.0
         if may_pass or pool.engine is not None:
-            found = self._try_reserve(request, pool)
+            found = await self._try_reserve_with_credit(request, pool)
             if isinstance(found, Reservation):
                 return found
             if found.kind is ErrorKind.NO_INSTANCE:
@@ -175,13 +198,14 @@
         try:
             service_s = self.get_mean_service_s(pool.name)
             wait_s = must_end_s - self._read_clock() - service_s
+            view = self._view_queue(request, pool, priority_key, must_end_s)
+            if not view.pool_slots:
+                # No end of another request makes room, only credit does.
+                wait_s = min(wait_s, compute_max_wait(view))
             async with asyncio.timeout(max(0.0, wait_s)):
                 found = await waiting.result
         except TimeoutError:
-            reason = "no server had free capacity in time for a complete response"
-            return make_failure(
-                ErrorKind.OVERLOADED, reason, retry_after_s=MIN_RETRY_AFTER_S
-            )
+            return self._make_timeout_refusal(request, pool, priority_key, must_end_s)
         finally:
             if found is None:
                 self._discard_waiting(waiting, queue)
@@ -225,6 +249,8 @@
     def release(self, reservation: Reservation, taken_s: float | None = None) -> None:
         """Release reserved capacity and assign it to waiting requests.
 
+        Credit is given back if the request was not sent.
+
         :param reservation: the reservation.
         :param taken_s: time from sending the request to the end of a complete response,
             ``None`` if there was none. It updates the pool's mean service time.
@@ -234,6 +260,8 @@
         record = reservation.record
         record.change_requests(-1, asyncio.get_running_loop().time())
         record.held_tokens -= reservation.held_tokens
+        if reservation.has_credit and not reservation.is_sent:
+            self._credits.return_credit(record.server)
         pool = record.server.pool
         if taken_s is not None:
             mean_s = self._mean_service_s.get(pool, INITIAL_SERVICE_TIME_S)
@@ -283,8 +311,30 @@
         del self._redispatches[pool]
         self.dispatch_waiting(pool)
         if self._waiting.get(pool):
+            self._ask_for_waiting(pool)
             self._schedule_redispatch(pool)
 
+    def _use_credit(self, key: ServerKey) -> None:
+        """Send waiting requests to a server for which credit has arrived."""
+        record = self._servers.find_by_hash(key[0])
+        if record is not None:
+            self.dispatch_waiting(record.server.pool)
+
+    def _ask_for_waiting(self, pool: PoolName) -> None:
+        """Ask for credit for as many servers as requests wait."""
+        now_s = asyncio.get_running_loop().time()
+        questions = len(self._waiting[pool]) if len(self._servers.limits) else 0
+        for record in self._servers.list_ready(pool):
+            if questions <= 0:
+                break
+            if record.pause.is_active(now_s) or record.is_avoided(now_s):
+                continue
+            if self._credits.get_state(record.server) is not CreditState.UNKNOWN:
+                continue
+            questions -= 1
+            if not self._credits.is_asking(record.server):
+                self._credits.ask(record.server)
+
     def dispatch_all_waiting(self) -> None:
         """Assign servers to waiting requests of all pools after a state update."""
         for pool in list(self._waiting):
@@ -335,10 +385,7 @@
         now_s = asyncio.get_running_loop().time()
         if shedder.is_due(now_s):
             accepting = self._list_accepting(pool.name)
-            slots = sum(
-                pool.engine.slots if pool.engine else record.server.slots
-                for record in accepting
-            )
+            slots = sum(self._count_usable_slots(record, pool) for record in accepting)
             requests = sum(record.total_requests for record in accepting)
             is_engine = pool.engine is not None
             shedder.adjust(requests / max(slots, 1), now_s, is_engine)
@@ -367,30 +414,89 @@
         :param min_wait_s: time in seconds until a server with room is within the load
             bound.
         """
-        accepting = self._list_accepting(pool.name)
+        view = self._view_queue(request, pool, priority_key, must_end_s)
+        wait_s = max(predict_wait(view), min_wait_s)
+        allowed_s = compute_max_wait(view)
+        if wait_s <= allowed_s:
+            return None
+        limits = self._describe_limits(pool)
+        return make_failure(
+            ErrorKind.OVERLOADED,
+            f"predicted wait {wait_s:.2f} s is above {allowed_s:.2f} s"
+            + (f"; limited: {limits}" if limits else ""),
+            retry_after_s=_spread_retry_after(wait_s),
+        )
+
+    def _make_timeout_refusal(
+        self,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        priority_key: tuple[int, int, bool],
+        must_end_s: float,
+    ) -> Failure:
+        """Refuse a request whose wait was longer than predicted."""
+        reason = "no server had free capacity in time for a complete response"
+        view = self._view_queue(request, pool, priority_key, must_end_s)
+        if view.pool_slots:
+            retry_after_s = MIN_RETRY_AFTER_S
+        else:
+            reason = f"no credit in time; limited: {self._describe_limits(pool)}"
+            retry_after_s = _spread_retry_after(predict_wait(view))
+        return make_failure(ErrorKind.OVERLOADED, reason, retry_after_s=retry_after_s)
+
+    def _view_queue(
+        self,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        priority_key: tuple[int, int, bool],
+        must_end_s: float,
+    ) -> QueueView:
         service_s = self.get_mean_service_s(pool.name)
-        view = QueueView(
+        unlimited, limited_per_s = [], 0.0
+        for record in self._list_accepting(pool.name):
+            rate_per_s = self._servers.limits.find_rate_per_s(record.server)
+            if rate_per_s is None:
+                unlimited.append(record)
+            else:
+                slots_per_s = max(record.server.slots, 1) / service_s
+                limited_per_s += min(rate_per_s, slots_per_s)
+        if limited_per_s:
+            # The demand at the routers is uneven, and so is what they get.
+            own_per_s = self._limited_rates[pool.name].rate(
+                asyncio.get_running_loop().time()
+            )
+            limited_per_s = max(limited_per_s / self.router_count, own_per_s)
+        return QueueView(
             queued_ahead=sum(
                 each.sort_key[:3] <= priority_key for each in self._waiting[pool.name]
             ),
-            running_requests=sum(record.requests for record in accepting),
-            pool_slots=sum(record.server.slots for record in accepting),
+            running_requests=sum(record.requests for record in unlimited),
+            pool_slots=sum(max(record.server.slots, 1) for record in unlimited),
             router_count=self.router_count,
             service_s=service_s,
             target_event_s=service_s if pool.engine is None else ENGINE_BASE_LATENCY_S,
             target_s=request.route.target_s,
             remaining_s=must_end_s - self._read_clock(),
+            limited_per_s=limited_per_s,
         )
-        wait_s = max(predict_wait(view), min_wait_s)
-        allowed_s = compute_max_wait(view)
-        if wait_s <= allowed_s:
-            return None
-        return make_failure(
-            ErrorKind.OVERLOADED,
-            f"predicted wait {wait_s:.2f} s is above {allowed_s:.2f} s",
-            retry_after_s=max(wait_s, MIN_RETRY_AFTER_S)
-            * random.uniform(1.0, RETRY_AFTER_SPREAD),
-        )
+
+    def _count_usable_slots(self, record: ServerRecord, pool: PoolLimits) -> float:
+        """Return how many slots of a server requests can occupy within its limit."""
+        slots = pool.engine.slots if pool.engine else record.server.slots
+        rate_per_s = self._servers.limits.find_rate_per_s(record.server)
+        if rate_per_s is None:
+            return slots
+        return min(slots, rate_per_s * self.get_mean_service_s(pool.name))
+
+    def _describe_limits(self, pool: PoolLimits) -> str:
+        """Name the servers of a pool that take the fewest requests per second."""
+        rates = {
+            record.server.server_id: rate_per_s
+            for record in self._servers.list_ready(pool.name)
+            if (rate_per_s := self._servers.limits.find_rate_per_s(record.server))
+        }
+        named = heapq.nsmallest(MAX_NAMED_SERVERS, rates, key=rates.get)
+        return ", ".join(f"{each} at {rates[each]:.2f}/s" for each in named)
 
     def _list_accepting(self, pool: PoolName) -> list[ServerRecord]:
         """Return the servers of a pool that want requests of this router."""
@@ -426,9 +532,26 @@
             retry_after_s=retry_after_s,
         )
 
-    def _try_reserve(
+    async def _try_reserve_with_credit(
         self, request: IncomingRequest, pool: PoolLimits
     ) -> Reservation | Failure:
+        """Reserve capacity, asking for credit if the chosen server limits the rate."""
+        for _ in range(MAX_QUESTIONS):
+            found = self._try_reserve(request, pool, may_ask=True)
+            if not isinstance(found, BackendServer):
+                return found
+            await self._credits.request(found)
+        return self._try_reserve(request, pool)
+
+    def _try_reserve(
+        self, request: IncomingRequest, pool: PoolLimits, may_ask: bool = False
+    ) -> Reservation | Failure | BackendServer:
+        """Reserve capacity on a server.
+
+        :param may_ask: whether a server may be chosen for which credit must be asked.
+        :returns: the reservation, the failure if there is none, or the chosen server if
+            credit for it must be asked first.
+        """
         now_s = asyncio.get_running_loop().time()
         ready = self._servers.list_ready(pool.name)
         untried = [
@@ -442,19 +565,33 @@
         accepting = [r for r in untried if not r.pause.is_active(now_s)]
         if not accepting:
             return self._make_pause_refusal(pool.name, ready, now_s)
-        healthy = [r for r in accepting if not r.is_avoided(now_s)]
-        records = healthy or accepting
+        credit = self._find_credit(ready)
+        sendable = [r for r in accepting if _has_credit(credit, r, may_ask)]
+        if not sendable:
+            return make_failure(
+                ErrorKind.OVERLOADED,
+                f"no credit for any server: {self._describe_limits(pool)}",
+            )
+        healthy = [r for r in sendable if not r.is_avoided(now_s)]
+        records = healthy or sendable
         homes = rank_home_engines(request.prompt, self._servers.list_all(pool.name))
-        preferred_homes = [
+        usable_homes = [
             home
             for home in homes
             if home.server.is_ready
             and not home.is_avoided(now_s)
             and not home.pause.is_active(now_s)
             and home.server.server_id not in request.tried_server_ids
-        ][:PREFERRED_HOMES]
+        ]
+        # A home without credit keeps its rank: as credit comes and goes, the chat stays
+        # on as few engines as before.
+        preferred_homes = [
+            home
+            for home in usable_homes[:PREFERRED_HOMES]
+            if _has_credit(credit, home, may_ask)
+        ] or [home for home in usable_homes if _has_credit(credit, home, may_ask)][:1]
         penalties_s = self._compute_start_penalties_s(
-            request, pool, records, homes, preferred_homes, now_s
+            request, pool, records, homes, preferred_homes, credit, now_s
         )
         usage = self._usage[pool.name]
         is_heavy = usage.is_heavy(request.workspace, now_s)
@@ -482,11 +619,21 @@
                 ErrorKind.OVERLOADED, "the home engines are at capacity"
             )
         paused = [r for r in ready if r.pause.is_active(now_s)]
-        chosen = self._choose(views, ready, now_s)
+        without_credit = [r for r in ready if not _has_credit(credit, r, may_ask)]
+        without_ids = {record.server.server_id for record in without_credit}
+        chosen = self._choose(views, ready, without_ids, now_s)
         if isinstance(chosen, Failure):
             return chosen
         reservation = reservations[chosen.server_id]
         record = reservation.record
+        state = credit.get(record.server.server_id, CreditState.UNLIMITED)
+        if state is CreditState.UNKNOWN:
+            return record.server
+        if state is CreditState.HELD:
+            reservation.has_credit = self._credits.spend(record.server)
+            self._limited_rates[pool.name].add(1.0, now_s)
+        if without_credit:
+            reservation.limited_servers = self._describe_limits(pool)
         usage.add(request.workspace, max(reservation.held_tokens, 1), now_s)
         reservation.mean_requests = sum(r.total_requests for r in ready) / len(ready)
         reservation.servers_without_room = len(ready) - len(views)
@@ -499,13 +646,32 @@
         request.fetch_from = None if source is None else source.server
         return reservation
 
+    def _find_credit(self, ready: list[ServerRecord]) -> dict[str, CreditState]:
+        """Return whether requests may be sent to servers that limit their rate."""
+        if not len(self._servers.limits):
+            return {}
+        states = {
+            record.server.server_id: self._credits.get_state(record.server)
+            for record in ready
+        }
+        return {
+            server_id: state
+            for server_id, state in states.items()
+            if state is not CreditState.UNLIMITED
+        }
+
     def _choose(
-        self, views: list[ServerCandidate], ready: list[ServerRecord], now_s: float
+        self,
+        views: list[ServerCandidate],
+        ready: list[ServerRecord],
+        without_credit: set[str],
+        now_s: float,
     ) -> ServerCandidate | Failure:
         """Choose among the servers with room so that the load bound holds for the pool.
 
         :param views: servers with room for the request.
         :param ready: all servers of the pool that accept new work.
+        :param without_credit: ids of those to which no more requests may be sent.
         :param now_s: monotonic time.
         """
         if not views:
@@ -514,7 +680,11 @@
             )
         usable, failing = [], []
         for record in ready:
-            is_failing = record.pause.is_active(now_s) or record.is_avoided(now_s)
+            is_failing = (
+                record.pause.is_active(now_s)
+                or record.is_avoided(now_s)
+                or record.server.server_id in without_credit
+            )
             (failing if is_failing else usable).append(record.total_requests)
         limit = compute_load_limit(self._load_factor, usable, failing)
         usable_limit = compute_load_limit(
@@ -556,6 +726,7 @@
         records: list[ServerRecord],
         homes: list[ServerRecord],
         preferred_homes: list[ServerRecord],
+        credit: dict[str, CreditState],
         now_s: float,
     ) -> dict[str, float]:
         server_ids = [record.server.server_id for record in records]
@@ -571,8 +742,11 @@
         )
         home_ids = {home.server.server_id for home in homes}
         others = [each for each in server_ids if each not in home_ids]
-        unsampled_s = compute_unsampled_penalties(
-            request.request_id, others, service_s, SAMPLED_ENGINES
+        # Credit of an engine is left to the chats whose home it is.
+        unlimited = [each for each in others if each not in credit]
+        unsampled_s = dict.fromkeys(others, service_s)
+        unsampled_s |= compute_unsampled_penalties(
+            request.request_id, unlimited, service_s, SAMPLED_ENGINES
         )
         return {
             each: penalty_s + unsampled_s.get(each, 0.0)
@@ -635,6 +809,25 @@
         return requests_per_slot * self.get_mean_service_s(pool.name)
 
 
+def _has_credit(
+    credit: dict[str, CreditState], record: ServerRecord, may_ask: bool
+) -> bool:
+    """Return whether a request may be sent to a server, or credit be asked for it.
+
+    :param credit: state of each server that limits the rate of requests, by id.
+    """
+    state = credit.get(record.server.server_id, CreditState.UNLIMITED)
+    if state is CreditState.UNKNOWN:
+        return may_ask
+    return state is not CreditState.DENIED
+
+
+def _spread_retry_after(wait_s: float) -> float:
+    """Return when a refused caller may come back, spread over callers."""
+    wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    return wait_s * random.uniform(1.0, RETRY_AFTER_SPREAD)
+
+
 def _describe_pauses(paused: list[ServerRecord], now_s: float) -> str:
     """Name the servers that want no requests for the longest time."""
     named = heapq.nlargest(MAX_NAMED_SERVERS, paused, key=lambda r: r.pause.until_s)
@@ -650,6 +843,7 @@
     load_factor: float,
     read_clock: Callable[[], float] = read_boot_time_s,
     policy: str = DEFAULT_DIRECT_PLACEMENT_POLICY,
+    credits: CreditExchange | None = None,
 ) -> Dispatcher:
     """Return a dispatcher without waiting requests.
 
@@ -658,5 +852,7 @@
     :param load_factor: highest load of a server, as a multiple of the mean load.
     :param read_clock: clock of the requests' deadlines, in seconds.
     :param policy: registered name of the policy that chooses a server.
+    :param credits: credit for servers that limit the rate of requests; by default, this
+        router alone gives it.
     """
-    return Dispatcher(servers, zone, load_factor, read_clock, policy)
+    return Dispatcher(servers, zone, load_factor, read_clock, policy, credits)
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -404,6 +404,7 @@
                 record.record_failure(exchange.reason, loop.time(), is_down=is_down)
                 return exchange
             attempt = Attempt(reservation, exchange, sent_s)
+            reservation.is_sent = True
         finally:
             if attempt is None:
                 self._dispatcher.release(reservation)
@@ -422,6 +423,7 @@
             expected_s=reservation.expected_s,
             prompt_tokens=reservation.prompt_tokens,
             paused_servers=reservation.paused_servers,
+            limited_servers=reservation.limited_servers,
         )
         return attempt
 
@@ -457,7 +459,7 @@
                 record.record_response_time(
                     loop.time() - attempt.sent_s, reservation.expected_s, loop.time()
                 )
-            refusal = self._check_head(head, request, reservation, progress)
+            refusal = self._check_head(head, request, attempt, progress)
             if refusal is not None and not (
                 # The server's own failure is an answer unless there is a better one.
                 refusal.outcome is Outcome.RAN
@@ -488,12 +490,17 @@
         self,
         head: BackendResponseHead,
         request: IncomingRequest,
-        reservation: Reservation,
+        attempt: Attempt,
         progress: ResponseProgress,
     ) -> Failure | None:
         """Return why a response with this head is not relayed, ``None`` if it is."""
+        reservation = attempt.reservation
         record = reservation.record
         self._servers.update_server_load(record, head.load)
+        if head.tells_limit:
+            self._servers.limits.record_answer(
+                record.server, head.limit_per_s, attempt.sent_s
+            )
         if head.is_leaving:
             self._servers.record_statement_of_leaving(record)
         self._servers.pause(record, head.pause_s)
@@ -737,7 +744,7 @@
             record.record_failure(head.reason, asyncio.get_running_loop().time())
             failure = head
         else:
-            failure = self._check_head(head, request, attempt.reservation, progress)
+            failure = self._check_head(head, request, attempt, progress)
             attempt.head = head
         if failure is not None:
             progress.replacement = None
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -51,6 +51,11 @@
         ``None`` if it belongs to none, or was answered.
     :param paused_servers: servers that were passed over since they want no requests,
         for the log.
+    :param has_credit: whether credit was spent on the request, since the server limits
+        the rate of requests.
+    :param is_sent: whether the request was sent.
+    :param limited_servers: servers that were passed over for want of credit, for the
+        log.
     :param mean_requests: mean number of requests at the servers of the pool before this
         one, for the log.
     :param servers_without_room: number of servers that could not take this request, for
@@ -66,6 +71,9 @@
     is_prefill_done: bool = False
     trial: int | None = None
     paused_servers: str = ""
+    has_credit: bool = False
+    is_sent: bool = False
+    limited_servers: str = ""
     mean_requests: float = 0.0
     servers_without_room: int = 0
 
--- a/bilberryspring/tests/test_odd_input.py
+++ b/bilberryspring/tests/test_odd_input.py
@@ -19,6 +19,12 @@
 from bilberryspring.connection.frames import decode_frame, encode_frame
 from bilberryspring.connection.http_caller import HttpRequest
 from bilberryspring.connection.instance_list_messages import decode_list_state
+from bilberryspring.connection.limit_messages import (
+    CreditMessage,
+    LimitReport,
+    decode_credit_message,
+    encode_credit_message,
+)
 from bilberryspring.connection.load_messages import decode_load_message
 from bilberryspring.connection.messages import Ping
 from bilberryspring.connection.router_reports import (
@@ -119,7 +125,8 @@
     "state": "live",
     "weight": 1.0,
 }
-REPORT = RouterReport("front-1", 1, 1, 1, 2, ())
+LIMIT = LimitReport(1, 2, 5.4, 0.2, 0.1, 9)
+REPORT = RouterReport("front-1", 1, 1, 1, 2, (), limits=(LIMIT,))
 SNAPSHOT = StoreSnapshot((SnapshotEntry("servers/a", b"{}", POSITION),), 0.1)
 SETTINGS = b"""
 node = "front-1"
@@ -192,6 +199,11 @@
     return decode_report(content)
 
 
+@register_decoder(encode_credit_message(CreditMessage(1, 2, 3, True, 1, 0.5, LIMIT)))
+def read_credit_message(content):
+    return decode_credit_message(content)
+
+
 @register_decoder(encode_snapshot(SNAPSHOT))
 def read_snapshot(content):
     return decode_snapshot(content)
