Say when a refused router asks again, and which servers count as failing

Cause: read as a newcomer, the comment on RETURN_SHARE did not say of which time it is a share, the module said that credit is given for one request at a time, a docstring left out servers without credit, and the states of credit were not explained. Change: comments and docstrings only.

--- a/bilberryspring/policy/direct_placement.py
+++ b/bilberryspring/policy/direct_placement.py
@@ -119,7 +119,8 @@
     :param load_factor: load bound, as a multiple of the mean number of requests.
     :param usable_requests: number of requests at each server that doesn't fail, whether
         or not it has room for this request.
-    :param failing_requests: the same for each server that is avoided or in a pause.
+    :param failing_requests: the same for each server that is avoided, in a pause, or
+        whose rate limit allows no request now.
 
     >>> compute_load_limit(1.5, [15, 15, 1, 1, 1, 3])
     11.0
--- a/bilberryspring/policy/rate_credits.py
+++ b/bilberryspring/policy/rate_credits.py
@@ -3,8 +3,8 @@
 Load pattern: hundreds of routers with uneven demand send to a server that takes a few
 requests a second from all of them together. An equal share of the rate is far below one
 request a second there, and routers that are owed whole requests each send them at once.
-Instead one router hands out the credit of a server, one request at a time, to the
-routers that ask for it.
+Instead one router hands out the credit of a server, for one request or a few at a
+time, to the routers that ask for it.
 """
 
 import math
@@ -13,8 +13,9 @@
 
 # Credit that nobody asked for is kept up to one request and that of this time.
 MAX_UNUSED_S = 0.3
-# Routers that were refused credit come back a little more often than credit accrues, so
-# that none is left unused when one of them no longer needs it.
+# A router that was refused credit asks again after a share, drawn between these two, of
+# the time in which all that compete would have their turn: credit is not left unused
+# when one of them no longer needs it.
 RETURN_SHARE = (0.4, 0.9)
 # A router asks again after this time even if many others compete.
 MAX_DENIAL_S = 4.0
--- a/bilberryspring/process/credit_exchange.py
+++ b/bilberryspring/process/credit_exchange.py
@@ -69,7 +69,11 @@
 
 
 class CreditState(Enum):
-    """Whether a request may be sent to a server."""
+    """Whether a request may be sent to a server.
+
+    ``UNKNOWN`` means that credit has to be asked for first, ``DENIED`` that there is
+    none for now.
+    """
 
     UNLIMITED = "unlimited"
     HELD = "held"
