review: show that a crash which takes a moment is not recognized

Disruption: a part of a prompt crashes each engine that begins to write an answer on it; its connections are reset first, and the process with the listening socket ends 0.2 s later. Streams come in chunks.

--- a/review/common/replica_process.py
+++ b/review/common/replica_process.py
@@ -30,6 +30,7 @@
         )
         self._deadly_part = options.deadly
         self._has_chunks = options.chunks
+        self._exit_delay_s = options.exit_delay
         self._log = open(options.log, "a", encoding="utf-8")
 
     def note(self, **fields):
@@ -38,6 +39,16 @@
         self._log.write(json.dumps(fields) + "\n")
         self._log.flush()
 
+    async def _crash(self, request):
+        """End the process; its connections are reset before if there is a delay."""
+        self.note(what="crash", attempt=request.attempt_id)
+        if self._exit_delay_s:
+            self.reset_connections()
+            await asyncio.sleep(0)
+            # New connections are still accepted, but not served.
+            time.sleep(self._exit_delay_s)
+        os._exit(CRASH_EXIT_CODE)
+
     async def stream(self, request, writer):
         """Write a stream of events, or crash after the first."""
         parts = request.headers["prompt-prefix"].split(",")
@@ -63,8 +74,7 @@
             await writer.drain()
             if is_deadly:
                 await asyncio.sleep(CRASH_DELAY_S)
-                self.note(what="crash", attempt=request.attempt_id)
-                os._exit(CRASH_EXIT_CODE)
+                await self._crash(request)
         if self._has_chunks:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
@@ -83,6 +93,7 @@
     parser.add_argument("--slots", type=int, default=64)
     parser.add_argument("--work", type=float, default=0.04)
     parser.add_argument("--chunks", action="store_true")
+    parser.add_argument("--exit-delay", type=float, default=0.0)
     options = parser.parse_args()
     replica = FragileReplica(options)
     await replica.start(port=options.port)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -190,6 +190,10 @@
         """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self):
+        """Close all connections at once, by a reset if bytes are unread or unsent."""
         for writer in list(self._writers):
             writer.transport.abort()
 
