Report writers that a test leaves open on Python 3.11.7 and later

Cause: since 3.11.7 the finalizer of asyncio.StreamWriter warns about a closed event loop (ResourceWarning, ignored by default) where it raised RuntimeError before, so conftest.py had no exception to report, and a leak passed. Ruled out: a change of pytest's plugin; with the finalizer of 3.11.6 the same versions report the leak.

Change: the tests' configuration sets a finalizer that closes the writer, which raises without its event loop, under every version. The test and its check are unchanged.

--- a/conftest.py
+++ b/conftest.py
@@ -4,6 +4,7 @@
 the garbage collector finds it, possibly in the middle of another test.
 """
 
+import asyncio
 import gc
 import sys
 
@@ -12,6 +13,19 @@
 pytest_plugins = ["pytester"]
 
 
+def _finalize_writer(writer: asyncio.StreamWriter) -> None:
+    """Close a stream writer that nobody closed, which fails without its event loop.
+
+    :raises RuntimeError: if the event loop is closed.
+    """
+    if not writer.transport.is_closing():
+        writer.close()
+
+
+# From Python 3.11.7 on, this finalizer only warns about a closed event loop.
+asyncio.StreamWriter.__del__ = _finalize_writer
+
+
 def pytest_collection_finish():
     """Exempt the imported modules from collections, which then take little time."""
     gc.collect()
