Log and count how long the event loop stood still, and in what

Change: both programs watch their event loop. A tick that comes 0.1 s late is a stall; the processor time of the loop's thread tells a callback that runs too long (busy) from a process that was stopped, and a sampling thread names the function. A line event_loop_stalled each, metrics event_loop_stalled_seconds{cause,place} and event_loop_longest_stall_seconds.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import sys
-from collections.abc import Callable
 
 import uvloop
 
@@ -37,6 +36,7 @@
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.credit_exchange import make_credit_exchange
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
+from bilberryspring.process.loop_watch import make_loop_watch
 from bilberryspring.process.result_fields import COMPLETE_RESULT
 from bilberryspring.process.router_metrics import make_router_metrics
 from bilberryspring.process.router_peers import make_router_peers
@@ -113,6 +113,7 @@
         )
         self._suspects = make_suspect_contents()
         self._metrics = make_router_metrics(self._servers)
+        self._loop_watch = make_loop_watch()
         self._relay = make_relay(
             self._server_calls,
             self._dispatcher,
@@ -156,7 +157,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._listeners: list[asyncio.Server] = []
 
-    def _make_gauges(self) -> dict[str, tuple[str, Callable[[], float]]]:
+    def _make_gauges(self) -> dict[str, tuple]:
         return {
             "configuration_version": (
                 "Version in force, -1 for none",
@@ -190,6 +191,16 @@
                 "Open connections of callers",
                 lambda: len(self._caller_connections),
             ),
+            "event_loop_stalled_seconds": (
+                "Time for which the event loop stood still",
+                self._loop_watch.read_stalled_s,
+                "cause",
+                "place",
+            ),
+            "event_loop_longest_stall_seconds": (
+                "Longest time for which the event loop stood still",
+                self._loop_watch.read_longest_s,
+            ),
         }
 
     async def start(self) -> None:
@@ -198,6 +209,7 @@
         :raises OSError: if an address cannot be bound.
         """
         loop = asyncio.get_running_loop()
+        self._loop_watch.start()
         for address, handler, connections in (
             (
                 self._settings.caller_address,
@@ -403,6 +415,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._peers.close()
+        self._loop_watch.close()
         await self._discovery.unregister()
         self._server_calls.close()
         self._store.close()
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -45,6 +45,7 @@
     "task_failed": Event(_STATE, "an exception ended a background task"),
     "handler_failed": Event(_STATE, "an exception ended an HTTP request handler"),
     "call_failed": Event(_STATE, "a call to or from another process failed"),
+    "event_loop_stalled": Event(_STATE, "the event loop stood still for some time"),
     "lines_left_out": Event(_STATE, "number of dropped log lines, by event"),
     # Membership, connections and dependencies
     "dependency_lost": Event(_STATE, "a dependency is no longer reachable"),
--- a/bilberryspring/process/node.py
+++ b/bilberryspring/process/node.py
@@ -19,6 +19,7 @@
 from bilberryspring.process.accounting import make_ledger
 from bilberryspring.process.list_follower import make_list_follower
 from bilberryspring.process.logs import log_event
+from bilberryspring.process.loop_watch import make_loop_watch
 from bilberryspring.process.membership import make_members
 from bilberryspring.process.metrics import make_metrics
 from bilberryspring.process.settings import ProcessSettings
@@ -71,6 +72,19 @@
             "Time since the platform confirmed the list",
             self.list_follower.read_age,
         )
+        self.loop_watch = make_loop_watch()
+        self.metrics.add_gauge(
+            "event_loop_stalled_seconds",
+            "Time for which the event loop stood still",
+            self.loop_watch.read_stalled_s,
+            "cause",
+            "place",
+        )
+        self.metrics.add_gauge(
+            "event_loop_longest_stall_seconds",
+            "Longest time for which the event loop stood still",
+            self.loop_watch.read_longest_s,
+        )
         self.holder = make_holder()
         self.follower = make_follower(
             settings, self.holder, self.key_value, self.members, self.peers, self.ledger
@@ -114,6 +128,7 @@
 
     async def start_node(self) -> None:
         """Start tracing, the platform clients and the configuration follower."""
+        self.loop_watch.start()
         self.tracing.start()
         await self.key_value.start()
         await self.list_follower.start()
@@ -127,4 +142,5 @@
         await self.list_follower.close()
         await self.peers.close()
         await self.key_value.close()
+        self.loop_watch.close()
         self.tracing.close()
--- a/bilberryspring/process/router_metrics.py
+++ b/bilberryspring/process/router_metrics.py
@@ -45,8 +45,8 @@
     """Request metrics of a router, and gauges that are read at each scrape.
 
     :param servers: table of the servers whose request counts are exported.
-    :ivar gauges: description and read function of further gauges, by metric name; they
-        must be added before the first :meth:`process_observations`.
+    :ivar gauges: description, read function and label names of further gauges, by
+        metric name; they must be added before the first :meth:`process_observations`.
     """
 
     def __init__(self, servers: ServerTable):
@@ -54,7 +54,7 @@
         self._observations: deque[RequestObservation] = deque(maxlen=MAX_OBSERVATIONS)
         self._metrics = None
         self._dropped_observations = 0
-        self.gauges: dict[str, tuple[str, object]] = {}
+        self.gauges: dict[str, tuple] = {}
 
     def observe(self, observation: RequestObservation) -> None:
         """Queue one observation; never block.
@@ -118,8 +118,8 @@
             "Requests not counted",
             lambda: self._dropped_observations,
         )
-        for name, (description, read) in self.gauges.items():
-            metrics.add_gauge(name, description, read)
+        for name, (description, read, *label_names) in self.gauges.items():
+            metrics.add_gauge(name, description, read, *label_names)
 
     def render(self) -> str:
         """Return all metrics in Prometheus text format."""
--- /dev/null
+++ b/bilberryspring/process/tests/test_loop_watch.py
@@ -0,0 +1,64 @@
+"""Stalls of the event loop are logged with their length, cause and function."""
+
+import asyncio
+import time
+
+import pytest
+
+from bilberryspring.process import loop_watch
+from bilberryspring.process.loop_watch import StallCause, make_loop_watch
+
+STALL_S = 0.6
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        loop_watch, "log_event", lambda event, **fields: logged.append((event, fields))
+    )
+    return logged
+
+
+@pytest.fixture
+async def watch(lines):
+    watch = make_loop_watch()
+    watch.start()
+    await asyncio.sleep(0.15)
+    yield watch
+    watch.close()
+
+
+def spin(duration_s):
+    until_s = time.thread_time() + duration_s
+    while time.thread_time() < until_s:
+        pass
+
+
+async def test_busy_loop_is_told_with_its_function(watch, lines):
+    spin(STALL_S)
+    await asyncio.sleep(0.2)
+    event, fields = lines[0]
+    assert event == "event_loop_stalled"
+    assert fields["cause"] is StallCause.BUSY
+    assert fields["stall_s"] > STALL_S / 2
+    assert fields["cpu_s"] > STALL_S / 2
+    assert fields["place"].startswith("test_loop_watch.spin from test_loop_watch.")
+    assert watch.read_longest_s() == pytest.approx(fields["stall_s"])
+    key = ("busy", "test_loop_watch.spin")
+    assert watch.read_stalled_s()[key] == pytest.approx(fields["stall_s"])
+
+
+async def test_stopped_process_is_not_taken_for_a_busy_loop(watch, lines):
+    time.sleep(STALL_S)
+    await asyncio.sleep(0.2)
+    _, fields = lines[0]
+    assert fields["cause"] is StallCause.STOPPED
+    assert fields["cpu_s"] < STALL_S / 2
+    assert fields["place"] == ""
+
+
+async def test_calm_loop_is_not_logged(watch, lines):
+    await asyncio.sleep(0.5)
+    assert all(fields["cause"] is StallCause.STOPPED for _, fields in lines)
+    assert watch.read_longest_s() < STALL_S
