Search only new bytes of a stream for the end of an event

Cause: feed copied the incomplete event and searched all of it for each part, so the work grew with the square of the event's length.

Change: the incomplete event is kept in a bytearray and only a separator that ends in the new bytes is looked for. The search for the first event and for the last id works on bytes instead of lists of lines.

--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -7,6 +7,10 @@
 # An event ends with an empty line; a line ends with LF or CRLF.
 _SEPARATORS = (b"\n\n", b"\n\r\n")
 _ANY_SEPARATOR = re.compile(rb"\n\r?\n")
+_MAX_SEPARATOR_BYTES = 3
+# Start of a line that is neither empty nor a comment.
+_FIELD = re.compile(rb"(?:\A|[\r\n])([^:\r\n])")
+_ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -20,7 +24,7 @@
     """
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self.last_id: str | None = None
         self.has_events = False
         self._has_begun = False
@@ -40,24 +44,25 @@
         >>> splitter.last_id
         '3'
         """
+        # Only a separator that ends in these bytes is new.
+        searched_bytes = max(len(self._partial) - _MAX_SEPARATOR_BYTES + 1, 0)
         self._partial += data
-        end = max(
-            (
-                self._partial.rfind(separator) + len(separator)
-                for separator in _SEPARATORS
-                if separator in self._partial
-            ),
-            default=0,
-        )
+        end = 0
+        for separator in _SEPARATORS:
+            position = self._partial.rfind(separator, searched_bytes)
+            if position >= 0:
+                end = max(end, position + len(separator))
         if end == 0:
             return b""
-        events, self._partial = self._partial[:end], self._partial[end:]
+        events = bytes(self._partial[:end])
+        del self._partial[:end]
         if self._must_check_continuation:
             self._check_continuation(events)
         if self.is_continuation_wrong:
             return b""
-        self.has_events = self.has_events or bool(_find_first_event(events))
-        self.last_id = _find_last_id(events.splitlines()) or self.last_id
+        if _FIELD.search(events):
+            self.has_events = True
+            self.last_id = _find_last_id(events) or self.last_id
         return events
 
     @property
@@ -75,7 +80,7 @@
 
         The incomplete event at the end of an interrupted response is discarded.
         """
-        self._partial = b""
+        self._partial.clear()
         self._has_begun = self._has_begun or self.has_events
         self.has_events = False
         self._must_check_continuation = self._has_begun
@@ -85,7 +90,7 @@
         first_event = _find_first_event(events)
         if first_event:
             self._must_check_continuation = False
-            first_id = _find_last_id(first_event)
+            first_id = _find_last_id(b"\n".join(first_event))
             self.is_continuation_wrong = (
                 not first_id
                 or self.last_id is None
@@ -94,25 +99,30 @@
 
     def take_partial(self) -> bytes:
         """Remove and return the bytes after the last event separator."""
-        partial, self._partial = self._partial, b""
+        partial = bytes(self._partial)
+        self._partial.clear()
         return partial
 
 
 def _find_first_event(events: bytes) -> list[bytes]:
     """Return the lines of the first event; empty if there are only comments."""
-    for event in _ANY_SEPARATOR.split(events):
-        lines = [
-            line for line in event.splitlines() if line and not line.startswith(b":")
-        ]
-        if lines:
-            return lines
-    return []
-
-
-def _find_last_id(lines: list[bytes]) -> str | None:
-    for line in reversed(lines):
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin-1")
+    field = _FIELD.search(events)
+    if field is None:
+        return []
+    start = field.start(1)
+    separator = _ANY_SEPARATOR.search(events, start)
+    event = events[start : separator.start() if separator else None]
+    return [line for line in event.splitlines() if line and not line.startswith(b":")]
+
+
+def _find_last_id(events: bytes) -> str | None:
+    """Return the value of the last id field; ``None`` if there is none."""
+    end = len(events)
+    while (start := events.rfind(_ID_FIELD, 0, end)) >= 0:
+        if start == 0 or events[start - 1] in b"\r\n":
+            value = re.split(rb"[\r\n]", events[start + len(_ID_FIELD) :], maxsplit=1)
+            return value[0].strip().decode("latin-1")
+        end = start
     return None
 
 
