Parse what connections receive in turns, and join the parts of a body

Cause: a reader that never yields. One read is up to 256 KB and libuv makes up to 32 of them in one pass; each byte can be a chunk, each chunk was a queued part, and read_chunk returned at once while parts were queued, so the relay took a hundred thousand parts through a time-out, the splitter and a write before any other task ran. Callers' bodies had the same shape: a list of one-byte parts.

Change: a read is at most 64 KiB. Up to 4 KiB are parsed at once; more is parsed in slices of 8 KiB, in turns of all connections of the event loop, for at most 4 ms before other tasks have 4 ms, and the transport reads no more meanwhile. Parts that wait are joined, so each read of the relay yields. The high-water mark is 64 KiB. Bodies of callers and of the store are collected in a bytearray.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -10,11 +10,13 @@
 import asyncio
 import re
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import httptools
 
+from bilberryspring.connection.input_turns import TurnProtocol
+
 __all__ = [
     "BackendConnection",
     "ConnectionFailure",
@@ -23,7 +25,7 @@
     "open_connection",
 ]
 
-READ_HIGH_WATER_BYTES = 256 * 1024
+READ_HIGH_WATER_BYTES = 64 * 1024
 # Bytes of a response besides its body: status lines, headers, chunk sizes, trailers. A
 # chunk of one byte has five bytes of framing.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -91,12 +93,15 @@
 _END_OF_RESPONSE = object()
 
 
-class BackendConnection(asyncio.Protocol):
-    """Connection to a backend server, used for one request at a time."""
+class BackendConnection(TurnProtocol):
+    """Connection to a backend server, used for one request at a time.
+
+    Parts of the body that are not read yet are joined.
+    """
 
     def __init__(self) -> None:
+        super().__init__()
         self._parser = httptools.HttpResponseParser(self)
-        self._transport: asyncio.Transport | None = None
         self._received_parts: deque[object] = deque()
         self._read_ready = asyncio.Event()
         self._write_ready = asyncio.Event()
@@ -119,12 +124,8 @@
 
     # Callbacks of the asyncio transport.
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        self._transport = transport
-
     def data_received(self, data: bytes) -> None:
-        """Feed received bytes to the parser."""
+        """Receive bytes, unless no response is outstanding."""
         self._has_response_started = True
         if self._failure is not None:
             return
@@ -132,6 +133,15 @@
             reason = "bytes arrived on an idle connection"
             self._fail(ConnectionFailureKind.MALFORMED, reason)
             return
+        super().data_received(data)
+
+    def parse(self, data: bytes) -> None:
+        """Feed received bytes to the parser.
+
+        :param data: bytes that follow those parsed before.
+        """
+        if self._failure is not None:
+            return
         body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
@@ -148,6 +158,13 @@
             reason = f"{self._overhead_bytes} bytes of a response besides its body"
             self._fail(ConnectionFailureKind.MALFORMED, reason)
 
+    def may_read(self) -> bool:
+        """Return whether little enough of the body waits to be read."""
+        limit_bytes = READ_HIGH_WATER_BYTES
+        if self._is_reading_paused:
+            limit_bytes //= 2
+        return self._buffered_bytes <= limit_bytes
+
     def eof_received(self) -> bool:
         """End a close-delimited body.
 
@@ -156,6 +173,7 @@
 
         :returns: False, so that the transport closes this side too.
         """
+        self.parse_rest()
         if self._failure is None and self._is_reading_body and self._is_close_delimited:
             self._is_reading_body = False
             self._keeps_alive = False
@@ -167,6 +185,7 @@
         kind = (
             ConnectionFailureKind.CLOSED if exc is None else ConnectionFailureKind.RESET
         )
+        self.parse_rest()
         self._fail(kind, "closed by the server" if exc is None else str(exc))
 
     def pause_writing(self) -> None:
@@ -216,12 +235,13 @@
         self._enqueue(ResponseHead(status, tuple(self._headers), is_self_delimited))
 
     def on_body(self, body: bytes) -> None:
-        """Queue a part of the body, and pause reading if too much is buffered."""
+        """Queue a part of the body, joined to the preceding one."""
         self._body_bytes += len(body)
         self._buffered_bytes += len(body)
-        if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport is not None:
-            self._transport.pause_reading()
-        self._enqueue(body)
+        if self._received_parts and isinstance(self._received_parts[-1], bytearray):
+            self._received_parts[-1] += body
+        else:
+            self._enqueue(bytearray(body))
 
     def on_message_complete(self) -> None:
         """Queue the end of a response, unless its status is 1xx."""
@@ -240,6 +260,7 @@
     def _fail(self, kind: ConnectionFailureKind, reason: str) -> None:
         if self._failure is None:
             self._failure = ConnectionFailure(kind, reason)
+        self._unparsed.clear()
         self._read_ready.set()
         self._write_ready.set()
         if self._transport is not None and not self._transport.is_closing():
@@ -270,7 +291,7 @@
             part = await self._read_part()
             if isinstance(part, ResponseHead | ConnectionFailure):
                 return part
-            if isinstance(part, bytes):
+            if isinstance(part, bytearray):
                 discarded_bytes += len(part)
             if discarded_bytes > MAX_DISCARDED_BYTES:
                 reason = f"over {MAX_DISCARDED_BYTES} bytes of another response"
@@ -280,13 +301,17 @@
     async def read_chunk(self) -> bytes | None | ConnectionFailure:
         """Wait for the next part of the response body.
 
+        The part is all that has been parsed, so the next read lets other tasks run.
+
         :returns: bytes, ``None`` at the end of the response, or the failure of the
             connection.
         """
         part = await self._read_part()
         if part is _END_OF_RESPONSE:
             return None
-        if isinstance(part, bytes | ConnectionFailure):
+        if isinstance(part, bytearray):
+            return bytes(part)
+        if isinstance(part, ConnectionFailure):
             return part
         return ConnectionFailure(
             ConnectionFailureKind.MALFORMED,
@@ -297,16 +322,13 @@
         while not self._received_parts:
             if self._failure is not None:
                 failure = self._failure
-                return ConnectionFailure(
-                    failure.kind, failure.reason, self._has_response_started
-                )
+                return replace(failure, has_response_started=self._has_response_started)
             self._read_ready.clear()
             await self._read_ready.wait()
         part = self._received_parts.popleft()
-        if isinstance(part, bytes):
+        if isinstance(part, bytearray):
             self._buffered_bytes -= len(part)
-            if self._buffered_bytes <= READ_HIGH_WATER_BYTES // 2 and self._transport:
-                self._transport.resume_reading()
+            self.update_reading()
         return part
 
     @property
@@ -320,6 +342,7 @@
             self._failure is None
             and self._keeps_alive
             and not self._received_parts
+            and not self._unparsed
             and not self._is_parsing_message
             and self._transport is not None
             and not self._transport.is_closing()
--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -11,6 +11,7 @@
 import httptools
 
 from bilberryspring.connection.caller_policy import CallerPolicy
+from bilberryspring.connection.input_turns import TurnProtocol
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import log_event
 
@@ -58,7 +59,7 @@
 Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(TurnProtocol):
     """Connection of a caller: parses its requests and writes the responses.
 
     :param handle: coroutine function that writes the response to one request.
@@ -73,11 +74,11 @@
         policy: CallerPolicy,
         connections: set["CallerConnection"],
     ):
+        super().__init__()
         self._handle = handle
         self._policy = policy
         self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
         self._requests: list[HttpRequest] = []
         self._request_available = asyncio.Event()
         self._write_ready = asyncio.Event()
@@ -101,8 +102,7 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._receive_started_s = 0.0
         self._has_head = False
         self._error_status = 0
@@ -111,7 +111,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task and the idle timeout of the connection."""
-        self._transport = transport
+        super().connection_made(transport)
         # A caller that has already left has no name.
         peer = transport.get_extra_info("peername")
         self._caller = f"{peer[0]}:{peer[1]}" if peer else ""
@@ -122,13 +122,22 @@
         self._restart_timer()
 
     def data_received(self, data: bytes) -> None:
-        """Feed received bytes to the parser, and reject malformed input."""
+        """Receive bytes, unless the connection's input was rejected."""
         self._has_received = True
         if self._is_input_rejected:
             return
         if not self._receive_started_s:
             self._receive_started_s = read_boot_time_s()
             self._restart_timer()
+        super().data_received(data)
+
+    def parse(self, data: bytes) -> None:
+        """Feed received bytes to the parser, and reject malformed input.
+
+        :param data: bytes that follow those parsed before.
+        """
+        if self._is_input_rejected or self._is_disconnected:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -136,6 +145,12 @@
         except httptools.HttpParserError:
             self._reject_input(self._error_status or 400)
 
+    def may_read(self) -> bool:
+        """Return whether few enough requests are queued."""
+        if self._is_reading_paused:
+            return not self._requests
+        return len(self._requests) <= MAX_PIPELINED_REQUESTS
+
     def eof_received(self) -> bool:
         """Return False, so that the transport closes this side too.
 
@@ -155,6 +170,9 @@
                 error=str(exc or ""),
             )
         self._is_disconnected = True
+        self._requests.clear()
+        self._unparsed.clear()
+        self._body = bytearray()
         self._write_ready.set()
         self._connections.discard(self)
         if self._timer is not None:
@@ -220,11 +238,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, and check the size limit."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._policy.limits.max_body_bytes:
+        self._body += body
+        if len(self._body) > self._policy.limits.max_body_bytes:
             self._error_status = 413
             raise ValueError("the body is too large")
-        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the connection's task."""
@@ -232,7 +249,7 @@
             method=self._parser.get_method().decode("ascii"),
             target=self._url,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             received_s=self._receive_started_s,
             closes_connection=not self._parser.should_keep_alive(),
         )
@@ -244,8 +261,6 @@
     def _enqueue(self, request: HttpRequest) -> None:
         self._requests.append(request)
         self._request_available.set()
-        if len(self._requests) > MAX_PIPELINED_REQUESTS and self._transport is not None:
-            self._transport.pause_reading()
 
     def _reject_input(self, status: int) -> None:
         self._is_input_rejected = True
@@ -255,7 +270,7 @@
             status=status,
             caller=self._caller,
             has_head=self._has_head,
-            body_bytes=self._body_bytes,
+            body_bytes=len(self._body),
         )
         self._enqueue(HttpRequest("", b"", [], b"", read_boot_time_s(), status, True))
 
@@ -268,7 +283,7 @@
                 request = self._requests.pop(0)
                 if not self._requests:
                     self._request_available.clear()
-                    self._transport.resume_reading()
+                    self.update_reading()
                 self._is_response_started = False
                 self._is_handling = True
                 self._must_close = self._must_close or request.closes_connection
@@ -382,7 +397,10 @@
     def is_busy(self) -> bool:
         """Whether a request is being read or handled."""
         return (
-            self._is_handling or bool(self._requests) or bool(self._receive_started_s)
+            self._is_handling
+            or bool(self._requests)
+            or bool(self._receive_started_s)
+            or bool(self._unparsed)
         )
 
     def start_response(
@@ -401,7 +419,7 @@
         :param length_bytes: length of the body, ``None`` for chunked encoding.
         :raises CallerGoneError: if the caller closed the connection.
         """
-        has_next = bool(self._requests or self._receive_started_s)
+        has_next = bool(self._requests or self._receive_started_s or self._unparsed)
         if self._policy.is_shutting_down and not has_next:
             self._must_close = True
         lines = [f"HTTP/1.1 {status} {reason}\r\n".encode("latin-1")]
--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -343,19 +343,19 @@
     connection: BackendConnection,
 ) -> tuple[ResponseHead | ConnectionFailure, bytes]:
     head = await connection.read_head()
-    content = b""
+    content = bytearray()
     while not isinstance(head, ConnectionFailure):
         chunk = await connection.read_chunk()
         if chunk is None:
             break
         if isinstance(chunk, ConnectionFailure):
-            return chunk, content
+            return chunk, b""
         content += chunk
         if len(content) > MAX_RESPONSE_BYTES:
             connection.close()
             reason = f"a response of more than {MAX_RESPONSE_BYTES} bytes"
             return ConnectionFailure(ConnectionFailureKind.MALFORMED, reason), b""
-    return head, content
+    return head, bytes(content)
 
 
 def make_metadata_store(address: str) -> MetadataStore:
--- /dev/null
+++ b/bilberryspring/platform/tests/test_endless_responses.py
@@ -0,0 +1,305 @@
+"""Servers that send bytes without end beside sound ones, through a router process.
+
+Guards against a router that stands still while it reads such bytes, against one that
+runs out of memory, and against connections of such servers that stay open.
+"""
+
+import asyncio
+import copy
+import re
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from bilberryspring.connection.tests.stream_server import make_stream_server
+from bilberryspring.platform.tests.platform_standin import (
+    CONFIGURATION,
+    ServerStandin,
+)
+from bilberryspring.platform.tests.test_front_router import deployment
+
+__all__ = ["deployment"]
+
+TROUBLE_S = 5.0
+DRAFT_CLIENTS = 24
+ORDER_CLIENTS = 6
+# Time limit of the orders' route, and how long a readiness check may take.
+MAX_ANSWER_S = 1.0
+# Half of what the platform gives a machine.
+MAX_MEMORY_MB = 150
+# A route's time limit, and the time in which connections are closed after it.
+MAX_OPEN_S = 4.0 + 0.5
+MAX_STALL_S = 0.5
+BLOCK_BYTES = 64 * 1024
+
+
+def make_configuration():
+    """Return a configuration in which drafts and files have servers of their own."""
+    configuration = copy.deepcopy(CONFIGURATION)
+    orders, drafts, public = configuration["routes"]
+    orders["timeoutMs"] = 1000
+    drafts["split"] = [{"service": "writer", "weight": 1}]
+    files = {**public, "name": "files", "prefix": "/files/", "service": "writer"}
+    configuration["routes"].append({**files, "timeoutMs": 4000, "goalMs": 400})
+    configuration["services"].append(
+        {"name": "writer", "healthPath": "/health", "maxConns": 200}
+    )
+    return configuration
+
+
+@dataclass(frozen=True)
+class Form:
+    """A form of bytes without end.
+
+    :param repeated: bytes that are repeated.
+    :param status: status of the response.
+    :param headers: further headers.
+    :param is_chunk: whether each repetition is a chunk.
+    :param start: bytes before the repeated ones, in place of a head.
+    :param path: path of the requests.
+    """
+
+    repeated: bytes
+    status: int = 200
+    headers: tuple[bytes, ...] = (b"Transfer-Encoding: chunked",)
+    is_chunk: bool = True
+    start: bytes | None = None
+    path: str = "/drafts/x"
+
+    def make_start(self, request_id):
+        if self.start is not None:
+            return self.start
+        headers = (
+            b"Attempt-Id: " + request_id,
+            b"Response-Seal: seal",
+            b"Content-Type: text/event-stream",
+            *self.headers,
+        )
+        head = b"HTTP/1.1 %d Status\r\n%b\r\n\r\n"
+        return head % (self.status, b"\r\n".join(headers))
+
+    def make_block(self):
+        data = self.repeated
+        if self.is_chunk:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        return data * max(BLOCK_BYTES // len(data), 1)
+
+
+UNFRAMED = (b"Connection: close",)
+FORMS = {
+    "event-in-bytes": Form(b"x"),
+    "event-in-64-bytes": Form(b"x" * 64),
+    "event-in-64-kibibytes": Form(b"x" * 65_536),
+    "event-of-lines": Form(b"a\n"),
+    "empty-events": Form(b"\n\n"),
+    "comments": Form(b":\n\n"),
+    "whole-events": Form(b"data: a\n\n"),
+    "numbered-events": Form(b"id: 1\ndata: a\n\n"),
+    "failure-in-bytes": Form(b"x", 500),
+    "failure-in-64-bytes": Form(b"x" * 64, 500),
+    "failure-unframed": Form(b"x" * 64, 500, UNFRAMED, is_chunk=False),
+    "file-in-bytes": Form(b"x", path="/files/x"),
+    "file-unframed": Form(b"x" * 64, headers=UNFRAMED, is_chunk=False, path="/files/x"),
+    "interim-responses": Form(
+        b"HTTP/1.1 102 Processing\r\n\r\n", is_chunk=False, start=b""
+    ),
+    "reason-phrase": Form(b"x", is_chunk=False, start=b"HTTP/1.1 200 "),
+    "header-value": Form(b"x", is_chunk=False, start=b"HTTP/1.1 200 OK\r\nName: "),
+    "headers": Form(b"a:\r\n", is_chunk=False, start=b"HTTP/1.1 200 OK\r\n"),
+    "trailers": Form(
+        b"a: b\r\n",
+        is_chunk=False,
+        start=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    ),
+    "chunk-extension": Form(
+        b"x",
+        is_chunk=False,
+        start=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+    ),
+    "no-response": Form(b"\x00\xff", is_chunk=False, start=b""),
+}
+
+
+@dataclass
+class EndlessServer:
+    """A server whose responses have no end.
+
+    :param form: form of the bytes.
+    :ivar open_s: times for which its connections were open after a request.
+    """
+
+    form: Form
+    open_s: list = field(default_factory=list)
+    server: object = None
+    port: int = 0
+
+    async def start(self):
+        self.server = make_stream_server(self._respond)
+        _, self.port = await self.server.start()
+
+    async def _respond(self, reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return
+        begun_s = time.monotonic()
+        request_id = re.search(rb"Attempt-Id: ([^\r]*)", head)[1]
+        block = self.form.make_block()
+        try:
+            writer.write(self.form.make_start(request_id))
+            while True:
+                writer.write(block)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except OSError:
+            self.open_s.append(time.monotonic() - begun_s)
+        finally:
+            writer.transport.abort()
+
+    def make_entry(self):
+        entry = ServerStandin("e1").make_entry()
+        address = f"127.0.0.1:{self.port}"
+        return {**entry, "address": address, "service": "writer", "slots": 64}
+
+    async def close(self):
+        await self.server.close()
+
+
+@dataclass
+class Observations:
+    """What the clients of a router and its platform saw.
+
+    :param order_times_s: duration of each order.
+    :param order_statuses: status of each order.
+    :param readiness_times_s: duration of each readiness check.
+    :param peak_memory_mb: highest resident memory of the router.
+    """
+
+    order_times_s: list = field(default_factory=list)
+    order_statuses: list = field(default_factory=list)
+    readiness_times_s: list = field(default_factory=list)
+    peak_memory_mb: float = 0.0
+
+
+def read_memory_mb(pid):
+    text = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", text)[1]) / 1024
+
+
+async def order_repeatedly(session, router, client, end_s, observed):
+    for number in range(1000):
+        if time.monotonic() >= end_s:
+            return
+        sent_s = time.monotonic()
+        headers = {
+            "Host": "a.example",
+            "Authorization": "Bearer k1",
+            "Attempt-Id": f"o{client}-{number}",
+            "Deadline-Ms": "4000",
+        }
+        async with session.post(
+            f"{router.url}/orders/x", headers=headers, data=b"x" * 400
+        ) as response:
+            await response.read()
+        observed.order_times_s.append(time.monotonic() - sent_s)
+        observed.order_statuses.append(response.status)
+        await asyncio.sleep(0.1)
+
+
+async def request_repeatedly(session, router, path, client, end_s):
+    method = "GET" if path.startswith("/files/") else "POST"
+    for number in range(1000):
+        if time.monotonic() >= end_s:
+            return
+        headers = {
+            "Host": "a.example",
+            "Authorization": "Bearer k1",
+            "Attempt-Id": f"d{client}-{number}",
+            "Deadline-Ms": "8000",
+        }
+        try:
+            async with session.request(
+                method, router.url + path, headers=headers
+            ) as response:
+                async for _ in response.content.iter_any():
+                    await asyncio.sleep(0)
+        except aiohttp.ClientError:
+            pass
+        await asyncio.sleep(0.2)
+
+
+async def watch_router(session, router, end_s, observed):
+    while time.monotonic() < end_s:
+        sent_s = time.monotonic()
+        async with session.get(f"http://{router.ip}:{router.ready_port}/ready"):
+            pass
+        observed.readiness_times_s.append(time.monotonic() - sent_s)
+        memory_mb = read_memory_mb(router.process.pid)
+        observed.peak_memory_mb = max(observed.peak_memory_mb, memory_mb)
+        await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def play(deployment):
+    """Let callers use a router beside a server whose responses have no end."""
+    opened = []
+
+    async def play_form(form):
+        endless, sound = EndlessServer(form), ServerStandin("w1", delay_s=0.02)
+        opened.extend([endless, sound])
+        await endless.start()
+        await sound.start()
+        await deployment.store.put("op/config", make_configuration())
+        await deployment.store.put("servers/e1", endless.make_entry())
+        sound_entry = sound.make_entry(service="writer", slots=64)
+        await deployment.store.put("servers/w1", sound_entry)
+        router = await deployment.add_router()
+        await router.wait_ready()
+        observed = Observations()
+        end_s = time.monotonic() + TROUBLE_S
+        timeout = aiohttp.ClientTimeout(total=20)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as session:
+            await asyncio.gather(
+                watch_router(session, router, end_s, observed),
+                *(
+                    order_repeatedly(session, router, client, end_s, observed)
+                    for client in range(ORDER_CLIENTS)
+                ),
+                *(
+                    request_repeatedly(session, router, form.path, client, end_s)
+                    for client in range(DRAFT_CLIENTS)
+                ),
+            )
+        return router, endless, observed
+
+    yield play_form
+    for server in opened:
+        await server.close()
+
+
+def read_stalls_s(router):
+    lines = router.log_path.read_text().splitlines()
+    stalls = [line for line in lines if "event=event_loop_stalled" in line]
+    return [float(re.search(r"stall_s=(\S+)", line)[1]) for line in stalls]
+
+
+@pytest.mark.parametrize("form", FORMS.values(), ids=FORMS)
+async def test_neighbours_of_a_response_without_end_are_served(play, form):
+    router, endless, observed = await play(form)
+    assert endless.open_s, "no response without end was begun and closed"
+    assert set(observed.order_statuses) == {200}
+    assert max(observed.order_times_s) < MAX_ANSWER_S
+    assert max(observed.readiness_times_s) < MAX_ANSWER_S
+    assert observed.peak_memory_mb < MAX_MEMORY_MB
+    assert max(endless.open_s) < MAX_OPEN_S
+    assert max(read_stalls_s(router), default=0.0) < MAX_STALL_S
+    lines = router.log_path.read_text().splitlines()
+    given_up = [line for line in lines if "event=response_given_up" in line]
+    keys = [re.search(r"request_id=\S+ server=\S+", line)[0] for line in given_up]
+    assert len(keys) == len(set(keys)), "more than one line for a response"
