Let the connection whose message took the least time parse first

Cause: turns were equal in bytes. A slice of one-byte chunks takes a hundred times the time of a slice of a large chunk, so the large answer got 8 KiB for each round of slow slices.

Change: a turn lasts for half a millisecond instead of one slice, and the connection comes first whose message has taken the least time; the time starts anew with each request. A run of turns is bounded as before.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -275,6 +275,7 @@
         """
         self._has_response_started = False
         self._overhead_bytes = self._body_bytes = 0
+        self.parse_time_s = 0.0
         self._is_idle = False
         if self._transport is not None and self._failure is None:
             self._transport.write(data)
--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -193,6 +193,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for the next request."""
         self._reset_message()
+        self.parse_time_s = 0.0
         self._receive_started_s = read_boot_time_s()
 
     def on_url(self, url: bytes) -> None:
--- a/bilberryspring/connection/input_turns.py
+++ b/bilberryspring/connection/input_turns.py
@@ -3,12 +3,14 @@
 The work of parsing depends on the number of chunks in the received bytes, which the
 sender chooses. A connection parses a small read at once. A larger one is parsed in
 slices, in turns with the other connections and with pauses for other tasks, while the
-transport reads no more.
+transport reads no more. The connection whose message has taken the least time comes
+first, so that a large answer in large chunks does not wait for others in tiny ones.
 """
 
 import asyncio
+import heapq
+import itertools
 import time
-from collections import deque
 from collections.abc import Callable
 from weakref import WeakKeyDictionary
 
@@ -18,9 +20,11 @@
 READ_BYTES = 64 * 1024
 # A read of at most this size is parsed at once if no earlier bytes wait.
 DIRECT_BYTES = 4 * 1024
-# Bytes that a connection parses in one turn.
+# Bytes that a connection parses before it looks at the time.
 SLICE_BYTES = 8 * 1024
-# Turns are taken for at most this long before other tasks run, by the end of a slice.
+# A connection's turn ends after this time, by the end of a slice.
+MAX_TURN_S = 0.0005
+# Turns are taken for at most this long before other tasks run, by the end of a turn.
 MAX_RUN_S = 0.004
 # Pause between runs, in which other tasks have the processor.
 PAUSE_S = 0.004
@@ -35,7 +39,8 @@
 
     def __init__(self, read_clock: Callable[[], float] = time.perf_counter):
         self._read_clock = read_clock
-        self._waiting: deque[TurnProtocol] = deque()
+        self._waiting: list[tuple[float, int, TurnProtocol]] = []
+        self._numbers = itertools.count()
         self._is_scheduled = False
         self.buffer = memoryview(bytearray(READ_BYTES))
 
@@ -44,18 +49,31 @@
 
         :param connection: connection with bytes to parse.
         """
-        self._waiting.append(connection)
+        self._push(connection)
         if not self._is_scheduled:
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._run)
 
+    def _push(self, connection: "TurnProtocol") -> None:
+        # Of equal connections, the one that has waited for longest comes first.
+        item = (connection.parse_time_s, next(self._numbers), connection)
+        heapq.heappush(self._waiting, item)
+
     def _run(self) -> None:
-        end_s = self._read_clock() + MAX_RUN_S
+        begun_s = now_s = self._read_clock()
         try:
-            while self._waiting and self._read_clock() < end_s:
-                connection = self._waiting.popleft()
-                if connection.take_turn():
-                    self._waiting.append(connection)
+            while self._waiting and now_s < begun_s + MAX_RUN_S:
+                _, _, connection = heapq.heappop(self._waiting)
+                turn_begun_s = now_s
+                while (is_waiting := connection.parse_slice()) and (
+                    now_s - turn_begun_s < MAX_TURN_S
+                ):
+                    now_s = self._read_clock()
+                now_s = self._read_clock()
+                connection.parse_time_s += now_s - turn_begun_s
+                if is_waiting:
+                    self._push(connection)
+                connection.update_reading()
         finally:
             self._is_scheduled = bool(self._waiting)
             if self._waiting:
@@ -81,9 +99,13 @@
 
     A subclass implements :meth:`parse` and :meth:`may_read`, and calls
     :meth:`update_reading` when the result of the latter may have changed.
+
+    :ivar parse_time_s: time in seconds that turns took since the message began; the
+        subclass sets it to zero when the next one begins.
     """
 
     def __init__(self) -> None:
+        self.parse_time_s = 0.0
         self._transport: asyncio.Transport | None = None
         self._turns = find_input_turns()
         self._unparsed = bytearray()
@@ -126,7 +148,7 @@
             self._turns.add(self)
         self.update_reading()
 
-    def take_turn(self) -> bool:
+    def parse_slice(self) -> bool:
         """Parse a slice of the received bytes.
 
         :returns: whether more bytes wait.
@@ -135,7 +157,6 @@
         del self._unparsed[:SLICE_BYTES]
         if data:
             self.parse(data)
-        self.update_reading()
         return bool(self._unparsed)
 
     def parse_rest(self) -> None:
--- a/bilberryspring/connection/tests/test_input_turns.py
+++ b/bilberryspring/connection/tests/test_input_turns.py
@@ -92,6 +92,20 @@
     assert len(first.slices) <= 2
 
 
+async def test_connection_that_took_the_least_time_comes_first(connect):
+    slow = [connect() for _ in range(8)]
+    for connection in slow:
+        connection.data_received(b"a" * READ_BYTES)
+    while not all(connection.slices for connection in slow):
+        await asyncio.sleep(0.001)
+    late = connect()
+    counts = sum(len(connection.slices) for connection in slow)
+    late.data_received(b"b" * READ_BYTES)
+    while not late.slices:
+        await asyncio.sleep(0.001)
+    assert sum(len(connection.slices) for connection in slow) <= counts + 1
+
+
 async def test_small_reads_are_parsed_at_once_and_in_order(connect):
     connection = connect()
     connection.data_received(b"a")
