Bound the memory of all responses, and give up the worst sender's first

Cause: limits for each response and none for their sum. An incomplete event, headers (160 bytes and more for each of some bytes) and unread parts were not counted at all.

Change: what a connection holds of a response (bytes not parsed, parts not read, headers, the body or event that the relay collects) counts towards 48 MiB of the process. Above that, responses of the sender that holds the most are given up, failures and bodies without a stated length weighing more than those with one, so that sound large answers stay. The body of a failure is relayed up to 1 MB, a response has at most 512 headers. A response that exceeds a bound is logged once (response_given_up with its cause) and counted (responses_given_up), counts as its server's failure, and says nothing about the parts of its prompt.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -12,6 +12,7 @@
     "BackendResponseHead",
     "BackendCalls",
     "CallerResponse",
+    "Excess",
     "Exchange",
     "NOT_RUN_STATUSES",
     "Reachability",
@@ -31,6 +32,19 @@
     SILENT = "silent"
 
 
+class Excess(Enum):
+    """Which bound the bytes of a response exceeded."""
+
+    HEAD = "head"
+    """Bytes or headers of heads, chunk sizes and trailers."""
+    EVENT = "event"
+    """Bytes of one event."""
+    BODY = "body"
+    """Bytes of a body that is relayed as a whole."""
+    MEMORY = "memory"
+    """Memory of all responses that this process holds."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
     """Load that a server reports with a response, over all callers.
@@ -98,7 +112,12 @@
 
 
 class Exchange(Protocol):
-    """A request that was sent to a server, and its response."""
+    """A request that was sent to a server, and its response.
+
+    :ivar is_given_up: whether the response exceeded a bound.
+    """
+
+    is_given_up: bool
 
     async def read_head(self) -> BackendResponseHead | Failure:
         """Wait for the status and headers of the response.
@@ -113,6 +132,23 @@
             connection broke.
         """
 
+    def keep_bytes(self, size_bytes: int) -> None:
+        """Record what is kept of the response, which counts towards a bound.
+
+        Above the bound on all responses, the exchange may be given up; its next read
+        fails then.
+
+        :param size_bytes: memory in bytes.
+        """
+
+    def give_up(self, excess: Excess, reason: str) -> Failure:
+        """Record that the response exceeded a bound.
+
+        :param excess: the bound.
+        :param reason: description for logs.
+        :returns: the failure of the exchange.
+        """
+
     def close(self) -> None:
         """End the exchange; a server that is still running the request cancels it."""
 
--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -15,7 +15,9 @@
 
 import httptools
 
+from bilberryspring.capability.backend_calls import Excess
 from bilberryspring.connection.input_turns import TurnProtocol
+from bilberryspring.process.memory_bound import MemoryBound, MessageKind
 
 __all__ = [
     "BackendConnection",
@@ -30,6 +32,10 @@
 # chunk of one byte has five bytes of framing.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_PER_BODY_BYTE = 8
+# Headers of a response, with those of interim responses; each takes much more memory
+# than its bytes.
+MAX_HEADERS = 512
+HEADER_OVERHEAD_BYTES = 160
 # Unread bytes of an earlier response that are discarded before a connection counts as
 # broken.
 MAX_DISCARDED_BYTES = 1024 * 1024
@@ -56,12 +62,14 @@
     :param has_response_started: whether any byte was received after the latest request
         was sent.
     :param is_refused: whether the server's machine refused the connection.
+    :param excess: bound that the response exceeded; ``None`` for another cause.
     """
 
     kind: ConnectionFailureKind
     reason: str
     has_response_started: bool = False
     is_refused: bool = False
+    excess: Excess | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,11 +105,21 @@
     """Connection to a backend server, used for one request at a time.
 
     Parts of the body that are not read yet are joined.
+
+    :param memory: bound on the memory of all responses; ``None`` for no bound.
+    :param sender: name of the server.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryBound | None = None, sender: str = "") -> None:
         super().__init__()
         self._parser = httptools.HttpResponseParser(self)
+        self._holder = (
+            None if memory is None else memory.make_holder(sender, self._give_up)
+        )
+        self._kept_bytes = 0
+        self._header_count = 0
+        self._header_bytes = 0
+        self._excess: Excess | None = None
         self._received_parts: deque[object] = deque()
         self._read_ready = asyncio.Event()
         self._write_ready = asyncio.Event()
@@ -155,8 +173,10 @@
             self._body_bytes
         )
         if self._overhead_bytes > allowed_bytes:
+            self._excess = Excess.HEAD
             reason = f"{self._overhead_bytes} bytes of a response besides its body"
             self._fail(ConnectionFailureKind.MALFORMED, reason)
+        self._update_held_bytes()
 
     def may_read(self) -> bool:
         """Return whether little enough of the body waits to be read."""
@@ -209,7 +229,15 @@
         self._reason_phrase += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
+        """Store one header.
+
+        :raises ValueError: if there are too many.
+        """
+        self._header_count += 1
+        self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+        if self._header_count > MAX_HEADERS:
+            self._excess = Excess.HEAD
+            raise ValueError(f"over {MAX_HEADERS} headers")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -232,6 +260,8 @@
         is_self_delimited = is_self_delimited or status in (204, 304)
         self._is_close_delimited = not is_self_delimited
         self._is_reading_body = True
+        if self._holder is not None:
+            self._holder.kind = _find_message_kind(status, header_names)
         self._enqueue(ResponseHead(status, tuple(self._headers), is_self_delimited))
 
     def on_body(self, body: bytes) -> None:
@@ -259,15 +289,40 @@
 
     def _fail(self, kind: ConnectionFailureKind, reason: str) -> None:
         if self._failure is None:
-            self._failure = ConnectionFailure(kind, reason)
+            self._failure = ConnectionFailure(kind, reason, excess=self._excess)
         self._unparsed.clear()
+        self._update_held_bytes()
         self._read_ready.set()
         self._write_ready.set()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
 
+    def _give_up(self) -> None:
+        self._excess = Excess.MEMORY
+        self._received_parts.clear()
+        self._buffered_bytes = self._kept_bytes = 0
+        reason = "responses without end take the memory of this process"
+        self._fail(ConnectionFailureKind.MALFORMED, reason)
+
+    def _update_held_bytes(self) -> None:
+        if self._holder is not None:
+            self._holder.set_size(
+                len(self._unparsed)
+                + self._buffered_bytes
+                + self._header_bytes
+                + self._kept_bytes
+            )
+
     # Public interface.
 
+    def keep_bytes(self, size_bytes: int) -> None:
+        """Record what the caller of :meth:`read_chunk` keeps of the response.
+
+        :param size_bytes: memory in bytes, zero once it keeps nothing.
+        """
+        self._kept_bytes = size_bytes
+        self._update_held_bytes()
+
     def send(self, data: bytes) -> None:
         """Write a complete request without waiting; the transport buffers it.
 
@@ -275,7 +330,10 @@
         """
         self._has_response_started = False
         self._overhead_bytes = self._body_bytes = 0
+        self._header_count = self._header_bytes = 0
         self.parse_time_s = 0.0
+        if self._holder is not None:
+            self._holder.kind = MessageKind.WITHOUT_LENGTH
         self._is_idle = False
         if self._transport is not None and self._failure is None:
             self._transport.write(data)
@@ -329,6 +387,7 @@
         part = self._received_parts.popleft()
         if isinstance(part, bytearray):
             self._buffered_bytes -= len(part)
+            self._update_held_bytes()
             self.update_reading()
         return part
 
@@ -359,28 +418,48 @@
         """
         self._is_idle = True
         self.idle_since_s = now_s
+        self._headers, self._header_bytes, self._kept_bytes = [], 0, 0
+        self._update_held_bytes()
 
     def close(self) -> None:
         """Abort the connection; the server then drops a request in progress."""
+        self._received_parts.clear()
+        self._buffered_bytes = self._header_bytes = self._kept_bytes = 0
         self._fail(ConnectionFailureKind.CLOSED, "closed by this side")
         if self._transport is not None:
             self._transport.abort()
 
 
+def _find_message_kind(status: int, header_names: set[bytes]) -> MessageKind:
+    if status >= 300:
+        return MessageKind.FAILURE
+    if b"content-length" in header_names:
+        return MessageKind.ANSWER
+    return MessageKind.WITHOUT_LENGTH
+
+
 async def open_connection(
-    host: str, port: int, timeout_s: float
+    host: str,
+    port: int,
+    timeout_s: float,
+    memory: MemoryBound | None = None,
+    sender: str = "",
 ) -> BackendConnection | ConnectionFailure:
     """Connect to a backend server.
 
     :param host: IP address of the server.
     :param port: TCP port of the server.
     :param timeout_s: timeout in seconds for establishing the connection.
+    :param memory: bound on the memory of all responses; ``None`` for no bound.
+    :param sender: name of the server.
     :returns: the connection, or an ``UNREACHABLE`` failure.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, protocol = await loop.create_connection(BackendConnection, host, port)
+            _, protocol = await loop.create_connection(
+                lambda: BackendConnection(memory, sender), host, port
+            )
     except TimeoutError:
         reason = f"connecting timed out after {timeout_s:.2f} s"
         return ConnectionFailure(ConnectionFailureKind.UNREACHABLE, reason)
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import re
-from collections import deque
+from collections import Counter, deque
 from dataclasses import replace
 
 from bilberryspring.capability.backend_calls import (
     BackendResponseHead,
+    Excess,
     Reachability,
     ServerLoad,
 )
@@ -27,6 +28,8 @@
     make_unreadable_values,
 )
 from bilberryspring.process.clock import read_boot_time_s
+from bilberryspring.process.logs import log_event
+from bilberryspring.process.memory_bound import make_memory_bound
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 
 __all__ = ["ServerCalls", "make_server_calls"]
@@ -44,6 +47,8 @@
 # A crashed server refuses a connection at once; a machine without power never responds.
 PROBE_TIMEOUT_S = 0.15
 MAX_IDLE_CONNECTIONS = 16
+# Memory of all responses of servers that have been received and not passed on.
+MAX_RESPONSES_BYTES = 48 * 1024 * 1024
 MISDIRECTED_STATUS = 421
 # Load figures of more digits are not counts of requests.
 MAX_LOAD_DIGITS = 6
@@ -64,6 +69,7 @@
     :param request_id: id that the response must repeat.
     :param server_calls: owner of the connection, which may reuse it.
     :param server: server at the other end of the connection.
+    :ivar is_given_up: whether the response exceeded a bound.
     """
 
     def __init__(
@@ -78,6 +84,7 @@
         self._server_calls = server_calls
         self._server = server
         self._is_body_complete = False
+        self.is_given_up = False
 
     async def read_head(self) -> BackendResponseHead | Failure:
         """Wait for the head of the response to this request.
@@ -90,7 +97,7 @@
         while True:
             head = await self._connection.read_head()
             if isinstance(head, ConnectionFailure):
-                return _make_connection_failure(head, "before a response")
+                return self._make_connection_failure(head, "before a response")
             self._connection.keep_alive_timeout_s = self._decode_or_record(
                 "keep_alive", head.find_header(b"keep-alive"), _decode_keep_alive_s
             )
@@ -175,10 +182,43 @@
         """
         chunk = await self._connection.read_chunk()
         if isinstance(chunk, ConnectionFailure):
-            return _make_connection_failure(chunk, "during a response")
+            return self._make_connection_failure(chunk, "during a response")
         self._is_body_complete = chunk is None
         return chunk
 
+    def _make_connection_failure(self, broken: ConnectionFailure, when: str) -> Failure:
+        reason = f"connection {broken.kind.value} {when}: {broken.reason}"
+        if broken.excess is not None:
+            return self.give_up(broken.excess, reason)
+        return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
+    def keep_bytes(self, size_bytes: int) -> None:
+        """Record what is kept of the response, which counts towards a bound.
+
+        :param size_bytes: memory in bytes.
+        """
+        self._connection.keep_bytes(size_bytes)
+
+    def give_up(self, excess: Excess, reason: str) -> Failure:
+        """Log and count once that the response exceeded a bound.
+
+        :param excess: the bound.
+        :param reason: description for logs.
+        :returns: the failure of the exchange.
+        """
+        if not self.is_given_up:
+            self.is_given_up = True
+            self._server_calls.given_up_responses[excess] += 1
+            log_event(
+                "response_given_up",
+                level="WARNING",
+                request_id=self._request_id.decode("latin-1"),
+                server=self._server.server_id,
+                cause=excess,
+                reason=reason,
+            )
+        return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
     def close(self) -> None:
         """End the exchange.
 
@@ -195,12 +235,16 @@
     """A client of backend servers with persistent connections.
 
     :param unreadable_values: counter of headers that could not be decoded.
+    :ivar given_up_responses: number of responses that exceeded each bound.
+    :ivar memory: bound on the memory of all responses.
     """
 
     def __init__(self, unreadable_values: UnreadableValues) -> None:
         self.unreadable_values = unreadable_values
         self._idle_connections: dict[tuple[str, int], deque[BackendConnection]] = {}
         self.opened_connections = 0
+        self.given_up_responses: Counter[Excess] = Counter()
+        self.memory = make_memory_bound(MAX_RESPONSES_BYTES)
 
     async def begin(
         self, server: BackendServer, request: IncomingRequest, time_left_s: float
@@ -218,7 +262,7 @@
         if connection is None:
             self.opened_connections += 1
             timeout_s = min(CONNECT_TIMEOUT_S, max(time_left_s, 0.0))
-            opened = await open_connection(server.host, server.port, timeout_s)
+            opened = await self._open_connection(server, timeout_s)
             if isinstance(opened, ConnectionFailure):
                 reason = f"{server.server_id}: {opened.reason}"
                 return make_failure(ErrorKind.BACKEND_UNREACHABLE, reason)
@@ -234,12 +278,19 @@
         connection.send(_encode_request(server, request, time_left_s))
         return ServerExchange(connection, request.request_id, self, server)
 
+    async def _open_connection(
+        self, server: BackendServer, timeout_s: float
+    ) -> BackendConnection | ConnectionFailure:
+        return await open_connection(
+            server.host, server.port, timeout_s, self.memory, server.server_id
+        )
+
     async def check_reachability(self, server: BackendServer) -> Reachability:
         """Try to connect to a server's address.
 
         :param server: server whose connection broke.
         """
-        opened = await open_connection(server.host, server.port, PROBE_TIMEOUT_S)
+        opened = await self._open_connection(server, PROBE_TIMEOUT_S)
         if isinstance(opened, ConnectionFailure):
             is_refused = opened.is_refused
             return Reachability.REFUSED if is_refused else Reachability.SILENT
@@ -448,11 +499,6 @@
     return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
 
-def _make_connection_failure(broken: ConnectionFailure, when: str) -> Failure:
-    reason = f"connection {broken.kind.value} {when}: {broken.reason}"
-    return make_failure(ErrorKind.BACKEND_FAILED, reason)
-
-
 def make_server_calls() -> ServerCalls:
     """Return a client without connections."""
     return ServerCalls(make_unreadable_values())
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -191,6 +191,21 @@
                 "Open connections of callers",
                 lambda: len(self._caller_connections),
             ),
+            "responses_given_up": (
+                "Responses of servers that exceeded a bound",
+                lambda: {
+                    (excess.value,): count
+                    for excess, count in self._server_calls.given_up_responses.items()
+                },
+                "cause",
+            ),
+            "received_bytes_held": (
+                "Memory of messages that are not passed on yet",
+                lambda: {
+                    ("responses",): self._server_calls.memory.held_bytes,
+                },
+                "of",
+            ),
             "event_loop_stalled_seconds": (
                 "Time for which the event loop stood still",
                 self._loop_watch.read_stalled_s,
--- a/bilberryspring/platform/tests/platform_standin.py
+++ b/bilberryspring/platform/tests/platform_standin.py
@@ -262,6 +262,7 @@
     :ivar refusal_status: status of these refusals.
     :ivar limit: limit in requests per second that each answer names, as text; ``None``
         to name none.
+    :ivar large_body: body of the responses to requests below ``/books/``.
     :ivar refused_at_s: loop times of the refusals.
     :ivar executed_at_s: loop times at which the executed requests arrived.
     """
@@ -275,6 +276,7 @@
         self.refusal_headers = None
         self.refusal_status = 503
         self.limit = None
+        self.large_body = b""
         self.refused_at_s = []
         self._runner = None
         self.port = 9  # until it is started
@@ -337,6 +339,8 @@
         if not request.path.startswith("/drafts/"):
             await asyncio.sleep(self.delay_s)
             headers.update(self.make_limit_headers(headers["Attempt-Id"]))
+            if request.path.startswith("/books/"):
+                return web.Response(body=self.large_body, headers=headers)
             return web.Response(body=b"done " + body, headers=headers)
         headers.update(self.make_limit_headers(headers["Attempt-Id"]))
         response = web.StreamResponse(headers=headers)
--- a/bilberryspring/platform/tests/test_endless_responses.py
+++ b/bilberryspring/platform/tests/test_endless_responses.py
@@ -34,6 +34,9 @@
 MAX_OPEN_S = 4.0 + 0.5
 MAX_STALL_S = 0.5
 BLOCK_BYTES = 64 * 1024
+MANY_CLIENTS = 90
+BOOK_BYTES = 6_000_000
+BOOK_CLIENTS = 4
 
 
 def make_configuration():
@@ -43,7 +46,13 @@
     orders["timeoutMs"] = 1000
     drafts["split"] = [{"service": "writer", "weight": 1}]
     files = {**public, "name": "files", "prefix": "/files/", "service": "writer"}
-    configuration["routes"].append({**files, "timeoutMs": 4000, "goalMs": 400})
+    books = {**public, "name": "books", "prefix": "/books/", "timeoutMs": 8000}
+    long_drafts = {**drafts, "name": "long", "prefix": "/long/", "timeoutMs": 10_000}
+    configuration["routes"] += [
+        {**files, "timeoutMs": 4000, "goalMs": 400},
+        books,
+        {**long_drafts, "attempts": 1, "resumable": False},
+    ]
     configuration["services"].append(
         {"name": "writer", "healthPath": "/health", "maxConns": 200}
     )
@@ -60,6 +69,7 @@
     :param is_chunk: whether each repetition is a chunk.
     :param start: bytes before the repeated ones, in place of a head.
     :param path: path of the requests.
+    :param bytes_per_s: rate of the bytes on each connection; zero for no limit.
     """
 
     repeated: bytes
@@ -68,6 +78,7 @@
     is_chunk: bool = True
     start: bytes | None = None
     path: str = "/drafts/x"
+    bytes_per_s: int = 0
 
     def make_start(self, request_id):
         if self.start is not None:
@@ -153,7 +164,8 @@
             while True:
                 writer.write(block)
                 await writer.drain()
-                await asyncio.sleep(0)
+                rate = self.form.bytes_per_s
+                await asyncio.sleep(len(block) / rate if rate else 0)
         except OSError:
             self.open_s.append(time.monotonic() - begun_s)
         finally:
@@ -175,12 +187,14 @@
     :param order_times_s: duration of each order.
     :param order_statuses: status of each order.
     :param readiness_times_s: duration of each readiness check.
+    :param are_books_whole: whether each large answer was whole.
     :param peak_memory_mb: highest resident memory of the router.
     """
 
     order_times_s: list = field(default_factory=list)
     order_statuses: list = field(default_factory=list)
     readiness_times_s: list = field(default_factory=list)
+    are_books_whole: list = field(default_factory=list)
     peak_memory_mb: float = 0.0
 
 
@@ -209,6 +223,23 @@
         await asyncio.sleep(0.1)
 
 
+def make_book():
+    return bytes(range(256)) * (BOOK_BYTES // 256)
+
+
+async def read_book_repeatedly(session, router, client, end_s, observed):
+    """Get large answers of a sound server, which states their length."""
+    book, number = make_book(), 0
+    while time.monotonic() < end_s:
+        number += 1
+        headers = {"Host": "a.example", "Attempt-Id": f"b{client}-{number}"}
+        headers["Deadline-Ms"] = "8000"
+        async with session.get(f"{router.url}/books/x", headers=headers) as response:
+            body = await response.read()
+        observed.are_books_whole.append((response.status, body == book))
+        await asyncio.sleep(0.5)
+
+
 async def request_repeatedly(session, router, path, client, end_s):
     method = "GET" if path.startswith("/files/") else "POST"
     for number in range(1000):
@@ -247,8 +278,9 @@
     """Let callers use a router beside a server whose responses have no end."""
     opened = []
 
-    async def play_form(form):
+    async def play_form(form, client_count=DRAFT_CLIENTS, call=request_repeatedly):
         endless, sound = EndlessServer(form), ServerStandin("w1", delay_s=0.02)
+        deployment.server.large_body = make_book()
         opened.extend([endless, sound])
         await endless.start()
         await sound.start()
@@ -272,8 +304,12 @@
                     for client in range(ORDER_CLIENTS)
                 ),
                 *(
-                    request_repeatedly(session, router, form.path, client, end_s)
-                    for client in range(DRAFT_CLIENTS)
+                    read_book_repeatedly(session, router, client, end_s, observed)
+                    for client in range(BOOK_CLIENTS)
+                ),
+                *(
+                    call(session, router, form.path, client, end_s)
+                    for client in range(client_count)
                 ),
             )
         return router, endless, observed
@@ -299,7 +335,42 @@
     assert observed.peak_memory_mb < MAX_MEMORY_MB
     assert max(endless.open_s) < MAX_OPEN_S
     assert max(read_stalls_s(router), default=0.0) < MAX_STALL_S
+    assert set(observed.are_books_whole) == {(200, True)}
     lines = router.log_path.read_text().splitlines()
     given_up = [line for line in lines if "event=response_given_up" in line]
     keys = [re.search(r"request_id=\S+ server=\S+", line)[0] for line in given_up]
     assert len(keys) == len(set(keys)), "more than one line for a response"
+
+
+SLOW_BYTES_PER_S = 900_000
+MANY_FORMS = {
+    "failure-unframed": Form(
+        b"x" * 64,
+        500,
+        UNFRAMED,
+        is_chunk=False,
+        path="/long/x",
+        bytes_per_s=SLOW_BYTES_PER_S,
+    ),
+    "failure-in-bytes": Form(b"x", 500, path="/long/x"),
+    "event-in-64-kibibytes": Form(
+        b"x" * 65_536, path="/long/x", bytes_per_s=SLOW_BYTES_PER_S
+    ),
+    "file-unframed": Form(
+        b"x" * 64,
+        headers=UNFRAMED,
+        is_chunk=False,
+        path="/files/x",
+        bytes_per_s=SLOW_BYTES_PER_S,
+    ),
+    "headers": Form(b"a:\r\n", is_chunk=False, start=b"HTTP/1.1 200 OK\r\n"),
+}
+
+
+@pytest.mark.parametrize("form", MANY_FORMS.values(), ids=MANY_FORMS)
+async def test_memory_is_bounded_over_all_responses_without_end(play, form):
+    router, _, observed = await play(form, MANY_CLIENTS)
+    assert observed.peak_memory_mb < MAX_MEMORY_MB
+    assert set(observed.order_statuses) == {200}
+    assert max(observed.order_times_s) < MAX_ANSWER_S
+    assert set(observed.are_books_whole) == {(200, True)}
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -104,6 +104,7 @@
     "request_refused": Event(_FAILED, "an agent refuses a request"),
     "request_sent": Event(_ROUTINE, "a request is sent to a backend server"),
     "request_ended": Event(_ROUTINE, "an agent has finished a request"),
+    "response_given_up": Event(_FAILED, "bytes of a response exceeded a bound"),
     "request_answered": Event(_ROUTINE, "a router has finished a request"),
     "request_failed": Event(_FAILED, "an exception ended a request"),
     "requests_unanswered": Event(_FAILED, "a connection ended with requests open"),
--- /dev/null
+++ b/bilberryspring/process/memory_bound.py
@@ -0,0 +1,147 @@
+"""Bound on the memory of what others send, over all connections of a process.
+
+A limit for each message doesn't bound their sum. Above the bound, messages are given up
+until the rest fits, first those of the sender that holds the most in messages that are
+least likely to become an answer.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+
+__all__ = ["MemoryBound", "MemoryHolder", "MessageKind", "make_memory_bound"]
+
+
+class MessageKind(Enum):
+    """What the bytes of a message may become."""
+
+    ANSWER = "answer"
+    """A message of a stated length."""
+    WITHOUT_LENGTH = "without_length"
+    """A message whose length its sender has not stated."""
+    FAILURE = "failure"
+    """A failure, whose bytes only explain it."""
+    ACCEPTED = "accepted"
+    """A complete message in use, which is never given up."""
+
+
+# How readily messages are given up, for each byte that they hold.
+_WEIGHTS = {
+    MessageKind.ANSWER: 1,
+    MessageKind.WITHOUT_LENGTH: 4,
+    MessageKind.FAILURE: 8,
+    MessageKind.ACCEPTED: 0,
+}
+# Giving up a message that holds less frees hardly anything.
+MIN_VICTIM_BYTES = 4 * 1024
+
+
+class MemoryHolder:
+    """Memory that one message holds.
+
+    :param bound: bound that the memory counts towards.
+    :param sender: name of the message's sender.
+    :param give_up: called if the message has to be given up; it must release the
+        memory.
+    :ivar kind: what the message may become.
+    :ivar size_bytes: memory that it holds.
+    """
+
+    __slots__ = ("_bound", "sender", "give_up", "kind", "size_bytes")
+
+    def __init__(self, bound: "MemoryBound", sender: str, give_up: Callable[[], None]):
+        self._bound = bound
+        self.sender = sender
+        self.give_up = give_up
+        self.kind = MessageKind.WITHOUT_LENGTH
+        self.size_bytes = 0
+
+    def set_size(self, size_bytes: int) -> None:
+        """Change the memory that the message holds, and give up messages if needed.
+
+        :param size_bytes: memory in bytes.
+        """
+        if size_bytes != self.size_bytes:
+            self._bound.change(self, size_bytes)
+
+    def release(self) -> None:
+        """Record that the message holds no memory any more."""
+        self.set_size(0)
+
+
+class MemoryBound:
+    """Memory that the messages of other processes may hold in total.
+
+    :param limit_bytes: the bound.
+    :ivar held_bytes: memory that the messages hold.
+    :ivar given_up_count: number of messages that were given up.
+    """
+
+    def __init__(self, limit_bytes: int):
+        self._limit_bytes = limit_bytes
+        self._holders: set[MemoryHolder] = set()
+        self.held_bytes = 0
+        self.given_up_count = 0
+
+    def make_holder(self, sender: str, give_up: Callable[[], None]) -> MemoryHolder:
+        """Return a holder without memory.
+
+        :param sender: name of the message's sender.
+        :param give_up: called if the message has to be given up.
+        """
+        return MemoryHolder(self, sender, give_up)
+
+    def change(self, holder: MemoryHolder, size_bytes: int) -> None:
+        """Change the memory of a holder, and give up messages above the bound.
+
+        :param holder: the holder.
+        :param size_bytes: memory in bytes that it holds now.
+        """
+        self.held_bytes += size_bytes - holder.size_bytes
+        is_growing = size_bytes > holder.size_bytes
+        holder.size_bytes = size_bytes
+        if size_bytes:
+            self._holders.add(holder)
+        else:
+            self._holders.discard(holder)
+        while is_growing and self.held_bytes > self._limit_bytes:
+            victim = self._find_victim()
+            if victim is None:
+                return
+            self.given_up_count += 1
+            victim.give_up()
+            victim.release()
+
+    def _find_victim(self) -> MemoryHolder | None:
+        """Return the message to give up: the worst one of the worst sender."""
+        candidates = [each for each in self._holders if _WEIGHTS[each.kind]]
+        weights: dict[str, int] = {}
+        for holder in candidates:
+            weight = holder.size_bytes * _WEIGHTS[holder.kind]
+            weights[holder.sender] = weights.get(holder.sender, 0) + weight
+        large = [each for each in candidates if each.size_bytes >= MIN_VICTIM_BYTES]
+        return max(
+            large or candidates,
+            key=lambda holder: (
+                weights[holder.sender],
+                holder.size_bytes * _WEIGHTS[holder.kind],
+            ),
+            default=None,
+        )
+
+
+def make_memory_bound(limit_bytes: int) -> MemoryBound:
+    """Return a bound without messages.
+
+    :param limit_bytes: memory in bytes that the messages may hold in total.
+
+    >>> given_up = []
+    >>> bound = make_memory_bound(100_000)
+    >>> endless = bound.make_holder("s1", lambda: given_up.append("s1"))
+    >>> sound = bound.make_holder("s2", lambda: given_up.append("s2"))
+    >>> sound.kind = MessageKind.ANSWER
+    >>> sound.set_size(60_000)
+    >>> endless.set_size(50_000)
+    >>> given_up, bound.held_bytes
+    (['s1'], 60000)
+    """
+    return MemoryBound(limit_bytes)
--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -65,6 +65,11 @@
             self.last_id = _find_last_id(events) or self.last_id
         return events
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes since the last separator."""
+        return len(self._partial)
+
     @property
     def is_event_too_long(self) -> bool:
         """Whether the bytes since the last separator exceed an event's maximum size."""
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -13,6 +13,7 @@
     BackendCalls,
     BackendResponseHead,
     CallerResponse,
+    Excess,
     Exchange,
     Reachability,
 )
@@ -57,6 +58,8 @@
 # Longest time for which two servers work on a request while one takes over.
 MAX_OVERLAP_S = 0.3
 MAX_BUFFERED_BODY_BYTES = 8_000_000
+# The body of a failure only explains it.
+MAX_FAILURE_BODY_BYTES = 1_000_000
 # A stream without a complete event for this multiple of its route's pause target is
 # stalled. Prefills of other prompts and preemptions make some pauses long.
 STALL_PAUSE_FACTOR = 4.0
@@ -484,6 +487,8 @@
                 record.record_failure(failure.reason, loop.time())
             return failure
         finally:
+            # A server that sent too much was running when this side closed.
+            progress.is_proven = progress.is_proven or exchange.is_given_up
             self._end_attempt(attempt, taken_s)
 
     def _check_head(
@@ -546,8 +551,10 @@
         progress: ResponseProgress,
         stream_token: object,
     ) -> Failure | None:
-        parts: list[bytes] = []
-        size_bytes = 0
+        body = bytearray()
+        limit_bytes = (
+            MAX_BUFFERED_BODY_BYTES if head.is_success else MAX_FAILURE_BODY_BYTES
+        )
         while True:
             chunk = await self._read_unless_silent(
                 exchange.read_chunk, request, reservation, progress
@@ -559,14 +566,13 @@
             reservation.record.record_response(
                 stream_token, asyncio.get_running_loop().time()
             )
-            parts.append(chunk)
-            size_bytes += len(chunk)
-            if size_bytes > MAX_BUFFERED_BODY_BYTES:
-                return make_failure(
-                    ErrorKind.BACKEND_FAILED, "the response is too large"
-                )
-        progress.start(head, size_bytes, read_boot_time_s() - request.received_s)
-        await progress.answer.write(b"".join(parts))
+            body += chunk
+            if len(body) > limit_bytes:
+                reason = f"a body of more than {limit_bytes} bytes"
+                return exchange.give_up(Excess.BODY, reason)
+            exchange.keep_bytes(len(body))
+        progress.start(head, len(body), read_boot_time_s() - request.received_s)
+        await progress.answer.write(body)
         progress.answer.finish()
         return _SUCCESS
 
@@ -603,6 +609,7 @@
             if splitter.is_continuation_wrong:
                 reason = f"its stream does not go on after event {splitter.last_id}"
                 return make_failure(ErrorKind.BACKEND_FAILED, reason)
+            exchange.keep_bytes(splitter.partial_bytes)
             if events:
                 reservation.record.record_response(stream_token, loop.time())
                 if progress.record_events(loop.time()):
@@ -610,7 +617,7 @@
             await answer.write(events)
             if splitter.is_event_too_long:
                 reason = f"an event of more than {MAX_EVENT_BYTES} bytes"
-                return make_failure(ErrorKind.BACKEND_FAILED, reason)
+                return exchange.give_up(Excess.EVENT, reason)
 
     def _find_stall(
         self, request: IncomingRequest, record: ServerRecord, stream_token: object
--- a/bilberryspring/request/tests/relay_fixtures.py
+++ b/bilberryspring/request/tests/relay_fixtures.py
@@ -94,6 +94,7 @@
     script: list
     calls: "ScriptedBackendCalls"
     pause_ends_s: float | None = None
+    is_given_up: bool = False
 
     async def _next(self):
         while self.script and isinstance(self.script[0], float):
@@ -114,6 +115,14 @@
     async def read_chunk(self):
         return await self._next()
 
+    def keep_bytes(self, size_bytes):
+        self.calls.kept_bytes.append(size_bytes)
+
+    def give_up(self, excess, reason):
+        self.is_given_up = True
+        self.calls.given_up.append(excess)
+        return make_failure(ErrorKind.BACKEND_FAILED, reason)
+
     def close(self):
         self.calls.closed += 1
         self.calls.closed_at_s.append(asyncio.get_running_loop().time())
@@ -129,6 +138,8 @@
     :param closed: number of exchanges that were closed.
     :param closed_at_s: loop time at which each of these was closed.
     :param down: ids of the servers that are down.
+    :param kept_bytes: memory that the relay stated for a response, at each change.
+    :param given_up: bounds that responses exceeded.
     """
 
     scripts: list
@@ -137,6 +148,8 @@
     closed: int = 0
     closed_at_s: list = field(default_factory=list)
     down: set = field(default_factory=set)
+    kept_bytes: list = field(default_factory=list)
+    given_up: list = field(default_factory=list)
 
     async def check_reachability(self, server):
         is_down = server.server_id in self.down
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from bilberryspring.capability.backend_calls import Excess
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import make_server_table
@@ -18,6 +19,7 @@
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
 from bilberryspring.request.relay import (
     MAX_BUFFERED_BODY_BYTES,
+    MAX_FAILURE_BODY_BYTES,
     MIN_STALL_S,
     STALL_PAUSE_FACTOR,
 )
@@ -299,6 +301,46 @@
     assert calls.closed == 1
 
 
+async def test_event_without_end_is_counted_as_memory():
+    stream = [make_head(), b"data: ", b"x" * 1000, b"\n\n", None]
+    answer, calls = await relay(STREAM_ROUTE, [stream])
+    assert answer.is_finished
+    assert calls.kept_bytes == [6, 1006, 0]
+
+
+@pytest.mark.parametrize(
+    ("status", "limit_bytes"),
+    [(200, MAX_BUFFERED_BODY_BYTES), (500, MAX_FAILURE_BODY_BYTES)],
+)
+async def test_body_up_to_its_limit_is_relayed_whole(status, limit_bytes):
+    body = b"x" * 1000
+    response = [make_head(status), *[body] * (limit_bytes // 1000), None]
+    answer, calls = await relay(ONCE_ROUTE, [response])
+    assert answer.body == body * (limit_bytes // 1000)
+    assert answer.is_finished and not calls.given_up
+    endless = [make_head(status), *[body] * (limit_bytes // 1000 + 1)]
+    answer, calls = await relay(ONCE_ROUTE, [endless])
+    assert answer.head is None
+    assert calls.given_up == [Excess.BODY]
+
+
+async def test_parts_of_a_prompt_are_not_blamed_for_bytes_without_end():
+    suspects = make_suspect_contents()
+    prompt = make_prompt(("a", 10), ("b", 10))
+    for _ in range(6):
+        endless = [make_head(), *[b"x" * 65_536] * 40]
+        answer, _ = await relay(
+            STREAM_ROUTE,
+            [endless],
+            suspects=suspects,
+            prompt=prompt,
+            down=("a", "b", "c"),
+        )
+        assert answer.is_broken
+    assert suspects.count_quarantined() == 0
+    assert not suspects.list_reports(8)
+
+
 def make_dribble(seconds, data=b"x"):
     """Return a script that sends a few bytes without an event each 0.1 s."""
     return [item for _ in range(int(seconds / 0.1)) for item in (0.1, data)]
