Bound the memory of all requests that callers send

Cause: a body was a list of its chunks, each an object of some 40 bytes, with a limit for each body (4 MB) and none for their sum.

Change: what is received, queued or handled of requests from 8 KiB on counts towards 64 MiB of the process. Above that, the largest body that is still being received is refused with 503, which is true: nothing of it was sent on. A complete request is never given up. A request has at most 512 headers (431). The write buffer of a caller that reads slowly is 64 KiB instead of 256.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -14,13 +14,18 @@
 from bilberryspring.connection.input_turns import TurnProtocol
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import log_event
+from bilberryspring.process.memory_bound import MemoryBound, MessageKind
 
 __all__ = ["CallerConnection", "CallerGoneError", "HttpRequest"]
 
 # During a shutdown, a new connection stays open this long for its first request.
 FIRST_REQUEST_GRACE_S = 0.5
 # Writing pauses while more than this is buffered for a caller that reads too slowly.
-WRITE_HIGH_WATER_BYTES = 256 * 1024
+WRITE_HIGH_WATER_BYTES = 64 * 1024
+# Each header takes much more memory than its bytes.
+MAX_HEADERS = 512
+# Requests of less than this are not counted towards the bound on memory.
+MIN_COUNTED_BYTES = 8 * 1024
 # Reading pauses while more requests than this are queued.
 MAX_PIPELINED_REQUESTS = 8
 # After a refusal, what a caller still sends is read and discarded for this long.
@@ -66,6 +71,7 @@
     :param policy: limits and shutdown state, read again for each request.
     :param connections: open connections of the process; this one adds and removes
         itself.
+    :param memory: bound on the memory of all requests; ``None`` for no bound.
     """
 
     def __init__(
@@ -73,12 +79,19 @@
         handle: Handler,
         policy: CallerPolicy,
         connections: set["CallerConnection"],
+        memory: MemoryBound | None = None,
     ):
         super().__init__()
         self._handle = handle
         self._policy = policy
         self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
+        self._upload_holder = self._request_holder = None
+        if memory is not None:
+            self._upload_holder = memory.make_holder("", self._give_up_upload)
+            self._request_holder = memory.make_holder("", lambda: None)
+            self._request_holder.kind = MessageKind.ACCEPTED
+        self._handled_bytes = 0
         self._requests: list[HttpRequest] = []
         self._request_available = asyncio.Event()
         self._write_ready = asyncio.Event()
@@ -144,6 +157,7 @@
             self._reject_input(400)
         except httptools.HttpParserError:
             self._reject_input(self._error_status or 400)
+        self._update_held_bytes()
 
     def may_read(self) -> bool:
         """Return whether few enough requests are queued."""
@@ -173,6 +187,7 @@
         self._requests.clear()
         self._unparsed.clear()
         self._body = bytearray()
+        self._update_held_bytes()
         self._write_ready.set()
         self._connections.discard(self)
         if self._timer is not None:
@@ -202,7 +217,13 @@
         self._add_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
+        """Store one header.
+
+        :raises ValueError: if there are too many, or too many bytes of them.
+        """
+        if len(self._headers) >= MAX_HEADERS:
+            self._error_status = 431
+            raise ValueError(f"over {MAX_HEADERS} headers")
         self._headers.append((name, value))
         self._add_header_bytes(len(name) + len(value) + 4)
 
@@ -263,6 +284,27 @@
         self._requests.append(request)
         self._request_available.set()
 
+    def _give_up_upload(self) -> None:
+        """Refuse the request that is being received, for want of memory."""
+        if self._is_input_rejected or self._is_disconnected:
+            return
+        self._reject_input(503)
+        self._unparsed.clear()
+        self._body = bytearray()
+
+    def _update_held_bytes(self) -> None:
+        if self._upload_holder is None:
+            return
+        upload_bytes = len(self._unparsed) + len(self._body)
+        request_bytes = sum(len(each.body) for each in self._requests)
+        request_bytes += self._handled_bytes
+        for holder, size_bytes in (
+            # A complete request is counted once: it leaves the upload first.
+            (self._upload_holder, upload_bytes),
+            (self._request_holder, request_bytes),
+        ):
+            holder.set_size(size_bytes if size_bytes >= MIN_COUNTED_BYTES else 0)
+
     def _reject_input(self, status: int) -> None:
         self._is_input_rejected = True
         log_event(
@@ -288,8 +330,12 @@
                 self._is_response_started = False
                 self._is_handling = True
                 self._must_close = self._must_close or request.closes_connection
+                self._handled_bytes = len(request.body)
                 await self._handle_or_fail(request)
+                del request
                 self._is_handling = False
+                self._handled_bytes = 0
+                self._update_held_bytes()
                 # A response that began before a shutdown has not announced the close;
                 # the next request may be on its way.
                 if self._must_close:
@@ -304,6 +350,8 @@
         except CallerGoneError:
             pass
         finally:
+            self._handled_bytes = 0
+            self._update_held_bytes()
             self._log_unanswered()
             if self._transport is not None and not self._transport.is_closing():
                 self._transport.close()
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -37,6 +37,7 @@
 from bilberryspring.process.credit_exchange import make_credit_exchange
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
 from bilberryspring.process.loop_watch import make_loop_watch
+from bilberryspring.process.memory_bound import make_memory_bound
 from bilberryspring.process.result_fields import COMPLETE_RESULT
 from bilberryspring.process.router_metrics import make_router_metrics
 from bilberryspring.process.router_peers import make_router_peers
@@ -51,6 +52,8 @@
 __all__ = ["FrontRouter", "main", "make_front_router"]
 
 LISTEN_BACKLOG = 1024
+# Memory of all requests of callers that are being received, queued or handled.
+MAX_REQUESTS_BYTES = 64 * 1024 * 1024
 MAINTENANCE_INTERVAL_S = 0.5
 # Importing the metrics library blocks the event loop for a tenth of a second, so it is
 # delayed until the router serves callers.
@@ -76,6 +79,7 @@
     408: ErrorKind.MALFORMED_REQUEST,
     413: ErrorKind.REQUEST_TOO_LARGE,
     431: ErrorKind.REQUEST_TOO_LARGE,
+    503: ErrorKind.OVERLOADED,
 }
 
 
@@ -90,6 +94,7 @@
         self._routing_table: RoutingTable | None = None
         self._caller_policy = CallerPolicy()
         self._caller_connections: set[CallerConnection] = set()
+        self._request_memory = make_memory_bound(MAX_REQUESTS_BYTES)
         self._servers = make_server_table()
         self._store = make_metadata_store(settings.store_address)
         self._server_calls = make_server_calls()
@@ -199,9 +204,14 @@
                 },
                 "cause",
             ),
+            "uploads_given_up": (
+                "Requests refused while they were received, for want of memory",
+                lambda: self._request_memory.given_up_count,
+            ),
             "received_bytes_held": (
-                "Memory of messages that are not passed on yet",
+                "Memory of requests and responses that are not passed on yet",
                 lambda: {
+                    ("requests",): self._request_memory.held_bytes,
                     ("responses",): self._server_calls.memory.held_bytes,
                 },
                 "of",
@@ -239,7 +249,7 @@
             host, port = split_address(address)
             listener = await loop.create_server(
                 lambda handler=handler, connections=connections: CallerConnection(
-                    handler, self._caller_policy, connections
+                    handler, self._caller_policy, connections, self._request_memory
                 ),
                 host,
                 port,
--- a/bilberryspring/platform/tests/test_endless_responses.py
+++ b/bilberryspring/platform/tests/test_endless_responses.py
@@ -35,6 +35,8 @@
 MAX_STALL_S = 0.5
 BLOCK_BYTES = 64 * 1024
 MANY_CLIENTS = 90
+UPLOAD_CLIENTS = 30
+MAX_BODY_BYTES = 4 * 1024 * 1024
 BOOK_BYTES = 6_000_000
 BOOK_CLIENTS = 4
 
@@ -53,6 +55,7 @@
         books,
         {**long_drafts, "attempts": 1, "resumable": False},
     ]
+    configuration["limits"]["maxBodyBytes"] = MAX_BODY_BYTES
     configuration["services"].append(
         {"name": "writer", "healthPath": "/health", "maxConns": 200}
     )
@@ -240,6 +243,30 @@
         await asyncio.sleep(0.5)
 
 
+async def upload(session, router, path, client, end_s, chunk=b"ab"):
+    """Send a body in chunks and never end it; return the answer."""
+    data = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+    block_chunks = max(BLOCK_BYTES // len(data), 1)
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer k1\r\n"
+        f"Attempt-Id: u{client}\r\nDeadline-Ms: 8000\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    reader, writer = await asyncio.open_connection(router.ip, router.port)
+    answer = b""
+    try:
+        async with asyncio.timeout(end_s - time.monotonic()):
+            writer.write(head.encode())
+            for _ in range(MAX_BODY_BYTES // len(chunk) // block_chunks - 1):
+                writer.write(data * block_chunks)
+                await writer.drain()
+            answer = await reader.readuntil(b"\r\n")
+    except (TimeoutError, OSError, asyncio.IncompleteReadError):
+        pass
+    writer.transport.abort()
+    return answer
+
+
 async def request_repeatedly(session, router, path, client, end_s):
     method = "GET" if path.startswith("/files/") else "POST"
     for number in range(1000):
@@ -374,3 +401,22 @@
     assert set(observed.order_statuses) == {200}
     assert max(observed.order_times_s) < MAX_ANSWER_S
     assert set(observed.are_books_whole) == {(200, True)}
+
+
+@pytest.mark.parametrize("chunk", [b"ab", b"x" * 16_384], ids=["bytes", "kibibytes"])
+async def test_memory_is_bounded_over_all_bodies_that_callers_send(play, chunk):
+    sound_form = Form(b"data: a\n\n", path="/open/x")
+    answers = []
+
+    async def call(*args):
+        answers.append(await upload(*args, chunk))
+
+    router, _, observed = await play(sound_form, UPLOAD_CLIENTS, call)
+    assert observed.peak_memory_mb < MAX_MEMORY_MB
+    assert set(observed.order_statuses) == {200}
+    assert max(observed.order_times_s) < MAX_ANSWER_S
+    if len(chunk) > 2:
+        # All bodies together exceed the bound, so some are refused as not run.
+        assert b"HTTP/1.1 503 Service Unavailable\r\n" in answers
+        assert b"" in answers
+    assert set(answers) <= {b"", b"HTTP/1.1 503 Service Unavailable\r\n"}
