Take only events of a stream as its progress

Cause: any bytes that ended an event counted as progress of the stream and of its server.

Change: only an event with a field is progress. A stream that sends over 256 KiB without one is given up (cause no_event).

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -39,6 +39,8 @@
     """Bytes or headers of heads, chunk sizes and trailers."""
     EVENT = "event"
     """Bytes of one event."""
+    NO_EVENT = "no_event"
+    """Bytes of a stream that complete no event."""
     BODY = "body"
     """Bytes of a body that is relayed as a whole."""
     MEMORY = "memory"
--- a/bilberryspring/request/event_splitter.py
+++ b/bilberryspring/request/event_splitter.py
@@ -12,6 +12,8 @@
 _FIELD = re.compile(rb"(?:\A|[\r\n])([^:\r\n])")
 _ID_FIELD = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
+# Comments and empty events between two events.
+MAX_BYTES_WITHOUT_EVENT = 256 * 1024
 
 
 class EventSplitter:
@@ -21,10 +23,14 @@
     :ivar has_events: whether the current response has a complete event.
     :ivar is_continuation_wrong: whether a continuation does not go on after
         ``last_id``; its events are not returned.
+    :ivar has_progressed: whether the latest bytes completed an event; comments and
+        empty events are none.
     """
 
     def __init__(self) -> None:
         self._partial = bytearray()
+        self._bytes_without_event = 0
+        self.has_progressed = False
         self.last_id: str | None = None
         self.has_events = False
         self._has_begun = False
@@ -47,6 +53,7 @@
         # Only a separator that ends in these bytes is new.
         searched_bytes = max(len(self._partial) - _MAX_SEPARATOR_BYTES + 1, 0)
         self._partial += data
+        self.has_progressed = False
         end = 0
         for separator in _SEPARATORS:
             position = self._partial.rfind(separator, searched_bytes)
@@ -61,8 +68,11 @@
         if self.is_continuation_wrong:
             return b""
         if _FIELD.search(events):
-            self.has_events = True
+            self.has_events = self.has_progressed = True
+            self._bytes_without_event = 0
             self.last_id = _find_last_id(events) or self.last_id
+        else:
+            self._bytes_without_event += len(events)
         return events
 
     @property
@@ -75,6 +85,11 @@
         """Whether the bytes since the last separator exceed an event's maximum size."""
         return len(self._partial) > MAX_EVENT_BYTES
 
+    @property
+    def is_without_event(self) -> bool:
+        """Whether there are too many bytes of comments since the last event."""
+        return self._bytes_without_event > MAX_BYTES_WITHOUT_EVENT
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes since the last separator are a part of an event."""
@@ -86,6 +101,7 @@
         The incomplete event at the end of an interrupted response is discarded.
         """
         self._partial.clear()
+        self._bytes_without_event = 0
         self._has_begun = self._has_begun or self.has_events
         self.has_events = False
         self._must_check_continuation = self._has_begun
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -35,6 +35,7 @@
 from bilberryspring.request.dispatcher import Dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 from bilberryspring.request.event_splitter import (
+    MAX_BYTES_WITHOUT_EVENT,
     MAX_EVENT_BYTES,
     EventSplitter,
     make_event_splitter,
@@ -610,7 +611,7 @@
                 reason = f"its stream does not go on after event {splitter.last_id}"
                 return make_failure(ErrorKind.BACKEND_FAILED, reason)
             exchange.keep_bytes(splitter.partial_bytes)
-            if events:
+            if splitter.has_progressed:
                 reservation.record.record_response(stream_token, loop.time())
                 if progress.record_events(loop.time()):
                     self._suspects.record_answer(progress.contents)
@@ -618,6 +619,9 @@
             if splitter.is_event_too_long:
                 reason = f"an event of more than {MAX_EVENT_BYTES} bytes"
                 return exchange.give_up(Excess.EVENT, reason)
+            if splitter.is_without_event:
+                reason = f"over {MAX_BYTES_WITHOUT_EVENT} bytes without an event"
+                return exchange.give_up(Excess.NO_EVENT, reason)
 
     def _find_stall(
         self, request: IncomingRequest, record: ServerRecord, stream_token: object
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import re
 import time
 from dataclasses import replace
 
@@ -17,6 +18,7 @@
 from bilberryspring.process.server_table import make_server_table
 from bilberryspring.request.dispatcher import RETRY_AFTER_SPREAD
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
+from bilberryspring.request.event_splitter import MAX_BYTES_WITHOUT_EVENT
 from bilberryspring.request.relay import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_FAILURE_BODY_BYTES,
@@ -301,6 +303,23 @@
     assert calls.closed == 1
 
 
+@pytest.mark.parametrize("comments", [b"\n\n", b": hi\n\n"])
+async def test_comments_without_end_break_the_stream_off(comments):
+    route = make_route(ExecutionRule.STREAM)
+    endless = [make_head(), *[comments * 16_384] * 40]
+    answer, calls = await relay(route, [endless])
+    assert answer.is_broken and not answer.is_finished
+    assert calls.given_up == [Excess.NO_EVENT]
+    assert calls.closed == 1
+
+
+async def test_comments_between_events_do_not_break_a_stream_off():
+    comments = b": hi\n\n" * (MAX_BYTES_WITHOUT_EVENT // 8)
+    stream = [make_head(), *[comments, b"data: a\n\n"] * 8, None]
+    answer, calls = await relay(STREAM_ROUTE, [stream])
+    assert answer.is_finished and not calls.given_up
+
+
 async def test_event_without_end_is_counted_as_memory():
     stream = [make_head(), b"data: ", b"x" * 1000, b"\n\n", None]
     answer, calls = await relay(STREAM_ROUTE, [stream])
@@ -346,14 +365,17 @@
     return [item for _ in range(int(seconds / 0.1)) for item in (0.1, data)]
 
 
-@pytest.mark.parametrize("data", [b"x", b"", b"id: 2\nda"])
+@pytest.mark.parametrize("data", [b"x", b"", b"id: 2\nda", b": hi\n\n", b"\n\n"])
 async def test_stalled_stream_that_sends_bytes_now_and_then_goes_on_elsewhere(data):
     route = make_route(ExecutionRule.STREAM, is_resumable=True, timeout_s=8.0)
     stalled = [make_head(), b"id: 1\n\n", *make_dribble(6.0, data)]
     whole = [make_head(), b"id: 2\n\n", None]
     started_s = asyncio.get_running_loop().time()
     answer, calls = await relay(route, [stalled, whole], deadline_s=8.0)
-    assert answer.body == b"id: 1\n\nid: 2\n\n"
+    body = answer.body
+    if data.endswith(b"\n\n"):
+        body = re.sub(rb"(?m)^(:.*)?\n\n", b"", body)
+    assert body == b"id: 1\n\nid: 2\n\n"
     assert answer.is_finished
     assert calls.sent[1][1] == "1"
     limit_s = max(MIN_STALL_S, STALL_PAUSE_FACTOR * route.pause_target_s)
