Split lines and events of agents in linear time, with a bound on a line

Events that arrive at once were handled without letting other tasks run.

Change: SeparatedParts keeps what is incomplete and looks for a separator only in new bytes; read_parts yields to other tasks after 64 parts. A line of the store's stream and a reply have at most 16 MiB.

--- a/bilberryspring/platform/keyvalue_gateway.py
+++ b/bilberryspring/platform/keyvalue_gateway.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from bilberryspring.connection.http_bodies import BodyTooLargeError, read_body
+from bilberryspring.connection.separated_parts import read_parts
 from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.platform.keyvalue_messages import (
     JsonObject,
@@ -17,6 +19,8 @@
 __all__ = ["Gateway", "make_unavailable"]
 
 MAX_CALLS_IN_FLIGHT = 64
+# Of a reply, or of one message of a stream.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 REJECTED_STATUSES = frozenset({400, 401, 403, 404, 405, 412, 413, 429})
 
@@ -176,11 +180,11 @@
             async with state.session.post(
                 self._url(path), data=content, timeout=timeout
             ) as reply:
-                raw = await reply.read()
+                raw = await read_body(reply, MAX_REPLY_BYTES)
                 status = reply.status
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return make_unavailable(_describe_error(error), Outcome.NOT_RUN)
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, BodyTooLargeError) as error:
             self._retire(state)
             return make_unavailable(
                 f"no reply: {_describe_error(error)}", Outcome.UNKNOWN
@@ -257,12 +261,10 @@
 
 
 async def _read_lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
-    """Yield lines of any length, which ``StreamReader.readline`` does not allow."""
-    pending = bytearray()
-    async for chunk in content.iter_any():
-        pending += chunk
-        *lines, rest = pending.split(b"\n")
-        pending = rest
-        for line in lines:
-            if line.strip():
-                yield bytes(line)
+    """Yield lines longer than ``StreamReader.readline`` allows.
+
+    :raises PartTooLongError: if a line exceeds ``MAX_REPLY_BYTES``.
+    """
+    async for line in read_parts(content.iter_any(), b"\n", MAX_REPLY_BYTES):
+        if line.strip():
+            yield line
--- a/bilberryspring/request/engine_calls.py
+++ b/bilberryspring/request/engine_calls.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from bilberryspring.connection.separated_parts import PartTooLongError, read_parts
 from bilberryspring.request.backend_call import (
     BackendCall,
     BackendResult,
@@ -147,17 +148,22 @@
     :param content: body of the response.
     :raises aiohttp.ClientPayloadError: if an event exceeds ``MAX_EVENT_BYTES``.
     """
-    buffer = b""
-    async for received in content.iter_any():
-        buffer += received
-        if b"\r" in buffer:
-            buffer = buffer.replace(b"\r\n", b"\n")
-        *events, buffer = buffer.split(b"\n\n")
-        if len(buffer) > MAX_EVENT_BYTES:
-            raise aiohttp.ClientPayloadError("an event is too large")
-        for event in events:
+    pieces = _replace_line_ends(content.iter_any())
+    try:
+        async for event in read_parts(pieces, b"\n\n", MAX_EVENT_BYTES):
             if data := _join_data(event):
                 yield data
+    except PartTooLongError as error:
+        raise aiohttp.ClientPayloadError(f"an event is too large: {error}") from error
+
+
+async def _replace_line_ends(pieces: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yield a stream in pieces, with LF in place of CRLF."""
+    held = b""
+    async for piece in pieces:
+        piece = held + piece
+        held = b"\r" if piece.endswith(b"\r") else b""
+        yield piece.removesuffix(b"\r").replace(b"\r\n", b"\n")
 
 
 def _join_data(event: bytes) -> bytes:
--- a/bilberryspring/request/tests/test_backend_events.py
+++ b/bilberryspring/request/tests/test_backend_events.py
@@ -1,5 +1,8 @@
 """Events of an engine's stream, whatever the pieces in which it arrives."""
 
+import asyncio
+import time
+
 import aiohttp
 import pytest
 
@@ -46,3 +49,25 @@
     endless = b"data: " + b"x" * MAX_EVENT_BYTES
     with pytest.raises(aiohttp.ClientPayloadError):
         await collect(endless)
+
+
+@pytest.mark.parametrize("piece", [b"x" * 16, b"a\n" * 8, b"a\r\n\r" * 3])
+async def test_work_is_linear_in_the_length_of_an_event(piece):
+    started_s = time.thread_time()
+    await collect(b"data: ", *[piece] * 16_384, b"\n\n")
+    assert time.thread_time() - started_s < 0.5
+
+
+async def test_other_tasks_run_between_events_that_arrive_at_once():
+    ticks = 0
+
+    async def tick():
+        nonlocal ticks
+        while True:
+            ticks += 1
+            await asyncio.sleep(0)
+
+    ticking = asyncio.create_task(tick())
+    assert len(await collect(b"data: a\n\n" * 10_000)) == 10_000
+    ticking.cancel()
+    assert ticks >= 100
