--- a/bilberryspring/connection/input_turns.py
+++ b/bilberryspring/connection/input_turns.py
@@ -12,9 +12,17 @@
 import itertools
 import time
 from collections.abc import Callable
+from typing import Protocol
 from weakref import WeakKeyDictionary
 
-__all__ = ["InputTurns", "TurnProtocol", "find_input_turns"]
+__all__ = [
+    "DIRECT_BYTES",
+    "InputTurns",
+    "SLICE_BYTES",
+    "TurnProtocol",
+    "TurnTaker",
+    "find_input_turns",
+]
 
 # Largest read from a connection.
 READ_BYTES = 64 * 1024
@@ -30,6 +38,24 @@
 PAUSE_S = 0.004
 
 
+class TurnTaker(Protocol):
+    """Connection that takes turns.
+
+    :ivar parse_time_s: time in seconds that turns took since its message began.
+    """
+
+    parse_time_s: float
+
+    def parse_slice(self) -> bool:
+        """Parse a slice of the received bytes.
+
+        :returns: whether more bytes wait.
+        """
+
+    def update_reading(self) -> None:
+        """Pause reading while bytes wait or there is no room, else resume it."""
+
+
 class InputTurns:
     """Turns of the connections of one event loop that have bytes to parse.
 
@@ -39,12 +65,12 @@
 
     def __init__(self, read_clock: Callable[[], float] = time.perf_counter):
         self._read_clock = read_clock
-        self._waiting: list[tuple[float, int, TurnProtocol]] = []
+        self._waiting: list[tuple[float, int, TurnTaker]] = []
         self._numbers = itertools.count()
         self._is_scheduled = False
         self.buffer = memoryview(bytearray(READ_BYTES))
 
-    def add(self, connection: "TurnProtocol") -> None:
+    def add(self, connection: TurnTaker) -> None:
         """Give a connection a turn; it must have none yet.
 
         :param connection: connection with bytes to parse.
@@ -54,7 +80,7 @@
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._run)
 
-    def _push(self, connection: "TurnProtocol") -> None:
+    def _push(self, connection: TurnTaker) -> None:
         # Of equal connections, the one that has waited for longest comes first.
         item = (connection.parse_time_s, next(self._numbers), connection)
         heapq.heappush(self._waiting, item)
--- a/bilberryspring/request/tests/test_backends.py
+++ b/bilberryspring/request/tests/test_backends.py
@@ -25,6 +25,7 @@
     make_backend_session,
 )
 from bilberryspring.request.buffered_response import make_buffered_response
+from bilberryspring.request.engine_calls import read_events
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
 from bilberryspring.version.objects import PoolKind
 
@@ -104,6 +105,59 @@
     assert result.outcome is Outcome.UNKNOWN
 
 
+ENDLESS_STREAMS = {
+    "event-in-bytes": b"1\r\nx\r\n",
+    "event-in-64-bytes": b"40\r\n%b\r\n" % (b"x" * 64),
+    "comments": b"3\r\n:\n\n\r\n",
+    "events": b"9\r\ndata: a\n\n\r\n",
+}
+STREAMS = 24
+TROUBLE_S = 2.0
+
+
+@pytest.mark.parametrize("chunk", ENDLESS_STREAMS.values(), ids=ENDLESS_STREAMS)
+async def test_other_tasks_run_beside_streams_without_end(chunk):
+    block = chunk * (65_536 // len(chunk))
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while True:
+            writer.write(block)
+            await writer.drain()
+
+    async def read_all(session, port):
+        async with session.get(f"http://127.0.0.1:{port}/") as response:
+            async for _ in read_events(response.content):
+                pass
+
+    async with serve_streams(respond) as port, make_backend_session() as session:
+        tasks = [asyncio.create_task(read_all(session, port)) for _ in range(STREAMS)]
+        longest_s, last_s = 0.0, time.perf_counter()
+        end_s = last_s + TROUBLE_S
+        while last_s < end_s:
+            await asyncio.sleep(0.005)
+            now_s = time.perf_counter()
+            longest_s, last_s = max(longest_s, now_s - last_s), now_s
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    assert longest_s < 0.25
+
+
+@pytest.mark.parametrize("size_bytes", [1000, 100_000, 6_000_000])
+async def test_large_response_is_whole(backend, size_bytes):
+    body = bytes(range(256)) * (size_bytes // 256)
+
+    async def respond(request):
+        return web.Response(body=body)
+
+    backend.respond = respond
+    result, backend_call = await call(backend.address, PoolKind.SERVICE)
+    assert result.status == 200
+    assert b"".join(backend_call.answer.chunks) == body
+
+
 async def test_refused_connection_means_not_run(backend):
     address = "127.0.0.1:1"
     result, backend_call = await call(address, PoolKind.SERVICE)
