Bound the frames of a handshake to 64 KiB

A process that has not proved its identity could announce a frame of 72 MB, and this one then collected as much from each such connection: the bound was that of the largest message between authenticated processes.

--- a/bilberryspring/connection/authentication.py
+++ b/bilberryspring/connection/authentication.py
@@ -13,8 +13,12 @@
 import secrets
 from dataclasses import replace
 
-from bilberryspring.connection.frames import read_frame, write_frame
-from bilberryspring.connection.messages import Hello
+from bilberryspring.connection.frames import (
+    MAX_HANDSHAKE_FRAME_BYTES,
+    read_frame,
+    write_frame,
+)
+from bilberryspring.connection.messages import Hello, Message
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = ["compute_proof", "authenticate_as_listener", "authenticate_as_connector"]
@@ -50,6 +54,10 @@
     return hmac.digest(secret.encode(), signed_bytes, hashlib.sha256)
 
 
+async def _read_hello(reader: asyncio.StreamReader) -> Message | Failure | None:
+    return await read_frame(reader, max_bytes=MAX_HANDSHAKE_FRAME_BYTES)
+
+
 async def authenticate_as_listener(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -68,7 +76,7 @@
     """
     own_nonce = secrets.token_bytes(NONCE_BYTES)
     write_frame(writer, replace(own_hello, nonce=own_nonce))
-    hello = await read_frame(reader)
+    hello = await _read_hello(reader)
     if not isinstance(hello, Hello):
         return make_failure(ErrorKind.UNAUTHENTICATED, "expected a hello frame")
     proof = compute_proof(
@@ -101,7 +109,7 @@
         ``UNAUTHENTICATED`` failure.
     :raises OSError: if the connection breaks.
     """
-    challenge = await read_frame(reader)
+    challenge = await _read_hello(reader)
     if not isinstance(challenge, Hello):
         return make_failure(ErrorKind.UNAUTHENTICATED, "expected a hello frame")
     nonce = secrets.token_bytes(NONCE_BYTES)
@@ -109,7 +117,7 @@
         secret, CONNECTOR_ROLE, nonce, challenge.nonce, own_hello.instance_id
     )
     write_frame(writer, replace(own_hello, nonce=nonce, proof=proof))
-    hello = await read_frame(reader)
+    hello = await _read_hello(reader)
     if not isinstance(hello, Hello):
         return make_failure(
             ErrorKind.UNAUTHENTICATED,
--- a/bilberryspring/connection/frames.py
+++ b/bilberryspring/connection/frames.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "MAX_FRAME_BYTES",
+    "MAX_HANDSHAKE_FRAME_BYTES",
     "UNKNOWN_FRAME_FAILURE",
     "encode_frame",
     "decode_frame",
@@ -27,6 +28,8 @@
 ]
 
 MAX_FRAME_BYTES = 72_000_000
+# Frames of a handshake come from a process that has not proved its identity.
+MAX_HANDSHAKE_FRAME_BYTES = 64 * 1024
 # Bounds the work of reading a message whose pointers refer to the same words many
 # times: at most four times the words of the largest frame may be traversed.
 TRAVERSAL_LIMIT_WORDS = 4 * MAX_FRAME_BYTES // 8
@@ -135,19 +138,23 @@
 
 
 async def read_frame(
-    reader: asyncio.StreamReader, *, skip_unknown: bool = False
+    reader: asyncio.StreamReader,
+    *,
+    skip_unknown: bool = False,
+    max_bytes: int = MAX_FRAME_BYTES,
 ) -> Message | Failure | None:
     """Read the next message from a stream.
 
     :param reader: stream positioned at the start of a frame.
     :param skip_unknown: skip frames of a type that this version does not know, instead
         of returning a failure for them.
+    :param max_bytes: size of the largest frame.
     :returns: the message; ``None`` at the end of the stream; or a failure for a frame
         that is too large, truncated or malformed.
     :raises OSError: if the connection breaks.
     """
     while True:
-        payload = await _read_payload(reader)
+        payload = await _read_payload(reader, max_bytes)
         if not isinstance(payload, bytes):
             return payload
         message = decode_frame(payload)
@@ -155,7 +162,9 @@
             return message
 
 
-async def _read_payload(reader: asyncio.StreamReader) -> bytes | Failure | None:
+async def _read_payload(
+    reader: asyncio.StreamReader, max_bytes: int
+) -> bytes | Failure | None:
     try:
         prefix = await reader.readexactly(LENGTH_PREFIX.size)
     except asyncio.IncompleteReadError as error:
@@ -163,8 +172,8 @@
             return None
         return make_failure(ErrorKind.MALFORMED_REQUEST, "truncated frame length")
     (size_bytes,) = LENGTH_PREFIX.unpack(prefix)
-    if size_bytes > MAX_FRAME_BYTES:
-        reason = f"frame of {size_bytes} bytes exceeds {MAX_FRAME_BYTES}"
+    if size_bytes > max_bytes:
+        reason = f"frame of {size_bytes} bytes exceeds {max_bytes}"
         return make_failure(ErrorKind.REQUEST_TOO_LARGE, reason)
     try:
         return await reader.readexactly(size_bytes)
