Bound the memory of responses that an agent buffers

Change: a response takes at most 32 MiB, all that have not ended at most 64 MiB, with 48 bytes for each chunk; above that the largest is given up (response_given_up), never sent again, its outcome unknown, and its chunks are released at once. A KV cache that an engine exports is read up to the size of a frame.

Result: test_response_without_end_is_given_up (service, engine), the two tests of the sum over all responses, and test_large_response_is_whole pass. The former code has no bound to test.

--- a/bilberryspring/process/agent.py
+++ b/bilberryspring/process/agent.py
@@ -24,6 +24,7 @@
 from bilberryspring.process.exchange import make_exchange
 from bilberryspring.process.http_server import make_http_server
 from bilberryspring.process.logs import log_event
+from bilberryspring.process.memory_bound import make_memory_bound
 from bilberryspring.process.node import Node
 from bilberryspring.process.orders import make_order_fence
 from bilberryspring.process.program import run_program
@@ -59,6 +60,8 @@
 __all__ = ["AgentProcess", "make_agent", "main"]
 
 SWEEP_INTERVAL_S = 0.25
+# Memory of all responses that have not ended.
+MAX_UNFINISHED_RESPONSES_BYTES = 64 * 1024 * 1024
 # A caller whose router failed may reattach for this long; then its request is
 # cancelled.
 REATTACH_GRACE_S = 10.0
@@ -72,6 +75,7 @@
 
     def __init__(self, settings: AgentSettings):
         super().__init__(settings, Role.AGENT)
+        self.response_memory = make_memory_bound(MAX_UNFINISHED_RESPONSES_BYTES)
         self.answers = make_answer_store(
             settings.retained_answers_bytes, settings.retained_answer_s
         )
@@ -273,6 +277,7 @@
             request.workspace,
             self.settings.window_chunks,
             request.attempt,
+            self.response_memory,
         )
         self.answers.add(answer)
         answer.task = self.start_task(serve_request(self, request, answer))
--- a/bilberryspring/request/backends.py
+++ b/bilberryspring/request/backends.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from bilberryspring.process.logs import log_event
 from bilberryspring.request import engine_calls, service_calls  # noqa: F401
 from bilberryspring.request.backend_call import (
     ADAPTERS,
@@ -15,6 +16,7 @@
     SecondSendError,
     make_backend_session,
 )
+from bilberryspring.request.buffered_response import ResponseTooLargeError
 from bilberryspring.request.engine_control import StreamAction, send_stream_action
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 from bilberryspring.request.stream_liveness import cancel_stream
@@ -59,7 +61,21 @@
 
 async def _call_adapter(kind: PoolKind, call: BackendCall) -> BackendResult | Failure:
     try:
-        return await ADAPTERS[kind](call)
+        result = await ADAPTERS[kind](call)
+        if call.answer.is_given_up:
+            raise ResponseTooLargeError("the response takes too much memory")
+        return result
+    except ResponseTooLargeError as error:
+        reason = str(error)
+        log_event(
+            "response_given_up",
+            level="WARNING",
+            request_id=call.request.request_id,
+            server=call.address,
+            cause="memory",
+            reason=reason,
+        )
+        return make_failure(ErrorKind.BACKEND_FAILED, reason, outcome=Outcome.UNKNOWN)
     except SecondSendError:
         return make_failure(
             ErrorKind.BACKEND_CRASHED,
--- a/bilberryspring/request/buffered_response.py
+++ b/bilberryspring/request/buffered_response.py
@@ -20,17 +20,27 @@
     RequestId,
     WorkspaceName,
 )
+from bilberryspring.process.memory_bound import MemoryBound
 from bilberryspring.request.errors import Failure, Outcome
 
 __all__ = [
     "BufferedResponse",
     "Attachment",
     "ChunkDigest",
+    "ResponseTooLargeError",
     "make_buffered_response",
     "make_refused_message",
 ]
 
 DIGEST_MASK = (1 << 64) - 1
+# Memory of one response.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Memory of a chunk besides its bytes.
+CHUNK_OVERHEAD_BYTES = 48
+
+
+class ResponseTooLargeError(Exception):
+    """The memory of a response, or of all responses of the process, is too large."""
 
 
 class ChunkDigest:
@@ -100,6 +110,9 @@
     :param window_chunks: initial credit of a new attachment.
     :param attempt: number of the router's attempt that this response belongs to, from
         one.
+    :param memory: bound on the memory of all responses that have not ended; ``None``
+        for no bound.
+    :ivar is_given_up: whether it exceeded a bound; its chunks are incomplete then.
     :ivar chunks: chunks received from the backend server so far.
     :ivar size_bytes: total size of the chunks.
     :ivar outcome: whether the request has run.
@@ -117,7 +130,11 @@
         workspace: WorkspaceName,
         window_chunks: int,
         attempt: int = 1,
+        memory: MemoryBound | None = None,
     ):
+        self.memory = memory
+        self._holder = None if memory is None else memory.make_holder("", self._give_up)
+        self.is_given_up = False
         self.request_id = request_id
         self.attempt = attempt
         self.workspace = workspace
@@ -175,11 +192,26 @@
         """Add the next chunk.
 
         :param data: bytes of the chunk.
+        :raises ResponseTooLargeError: if the response exceeded a bound.
         """
         self.chunks.append(data)
         self.size_bytes += len(data)
+        held_bytes = self.size_bytes + CHUNK_OVERHEAD_BYTES * len(self.chunks)
+        if held_bytes > MAX_RESPONSE_BYTES:
+            self._give_up()
+        elif self._holder is not None and not self.ended:
+            self._holder.set_size(held_bytes)
+        if self.is_given_up:
+            self.chunks.clear()
+            raise ResponseTooLargeError("the response takes too much memory")
         self.deliver()
 
+    def _give_up(self) -> None:
+        self.is_given_up = True
+        self.chunks.clear()
+        self.size_bytes = 0
+        self.discard()
+
     def finish(
         self,
         status: int,
@@ -210,7 +242,13 @@
         self.outcome = failure.outcome
         self._end()
 
+    def discard(self) -> None:
+        """Record that the response is not needed any more."""
+        if self._holder is not None:
+            self._holder.release()
+
     def _end(self) -> None:
+        self.discard()
         self.ended_s = time.monotonic()
         self.deliver()
 
@@ -336,6 +374,7 @@
     workspace: WorkspaceName,
     window_chunks: int,
     attempt: int = 1,
+    memory: MemoryBound | None = None,
 ) -> BufferedResponse:
     """Return a response without chunks.
 
@@ -343,5 +382,6 @@
     :param workspace: workspace of the request.
     :param window_chunks: initial credit of a new attachment.
     :param attempt: number of the router's attempt, from one.
+    :param memory: bound on the memory of all responses that have not ended.
     """
-    return BufferedResponse(request_id, workspace, window_chunks, attempt)
+    return BufferedResponse(request_id, workspace, window_chunks, attempt, memory)
--- a/bilberryspring/request/cache_transfers.py
+++ b/bilberryspring/request/cache_transfers.py
@@ -23,6 +23,8 @@
     encode_location,
 )
 from bilberryspring.connection.calls import register_call_handler
+from bilberryspring.connection.frames import MAX_FRAME_BYTES
+from bilberryspring.connection.http_bodies import BodyTooLargeError, read_body
 from bilberryspring.connection.messages import Open
 from bilberryspring.identifiers import ChatKey, InstanceId, PoolName
 from bilberryspring.process.accounting import ControlMechanism
@@ -43,6 +45,7 @@
 ASSUMED_PREFILL_TOKENS_PER_S = 10_000.0
 # Maximum expected duration of a transfer, as a fraction of the prefill time it saves.
 MAX_TRANSFER_COST_RATIO = 0.8
+TRANSFER_ERRORS = (TimeoutError, aiohttp.ClientError, OSError, BodyTooLargeError)
 
 
 class CacheTransfers:
@@ -91,7 +94,7 @@
         try:
             async with asyncio.timeout(min(TRANSFER_TIMEOUT_S, max(prefill_s, 0.2))):
                 return await self._copy(location, request)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except TRANSFER_ERRORS as error:
             log_event("cache_move_failed", level="WARNING", error=repr(error))
             return False
 
@@ -132,8 +135,8 @@
         try:
             async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                 async with self._session.post(url, json=body) as reply:
-                    content = await reply.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+                    content = await read_body(reply, MAX_FRAME_BYTES)
+        except TRANSFER_ERRORS as error:
             return make_failure(ErrorKind.BACKEND_UNREACHABLE, repr(error))
         if reply.status != 200:
             return make_failure(ErrorKind.UNKNOWN_ANSWER, "the prefix is not cached")
@@ -194,7 +197,7 @@
         url = f"http://{self._process.settings.backend_address}/v1/kv/import"
         headers = {"Content-Type": "application/json"}
         async with self._session.post(url, data=exported, headers=headers) as reply:
-            await reply.read()
+            await read_body(reply, MAX_FRAME_BYTES)
         if reply.status != 200:
             return False
         self.index.record_copy(request)
--- a/bilberryspring/request/request_execution.py
+++ b/bilberryspring/request/request_execution.py
@@ -22,7 +22,10 @@
     call_backend,
     control_stream,
 )
-from bilberryspring.request.buffered_response import BufferedResponse
+from bilberryspring.request.buffered_response import (
+    BufferedResponse,
+    ResponseTooLargeError,
+)
 from bilberryspring.request.claim_protocol import StoredResponse
 from bilberryspring.request.engine_control import StreamAction
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
@@ -58,12 +61,19 @@
         except Exception as error:  # any error must end in a response to the caller
             log_event("request_failed", level="ERROR", error=repr(error))
             result = make_failure(ErrorKind.INTERNAL, outcome=Outcome.UNKNOWN)
+        if isinstance(result, StoredResponse):
+            try:
+                answer.append(result.body)
+            except ResponseTooLargeError as error:
+                reason = str(error)
+                result = make_failure(
+                    ErrorKind.INTERNAL, reason, outcome=Outcome.UNKNOWN
+                )
         if isinstance(result, Failure):
             result = _attach_crash_ids(process, request, result)
             span.mark_failed(result.reason)
             answer.refuse(result, process.holder.version)
         elif isinstance(result, StoredResponse):
-            answer.append(result.body)
             answer.finish(result.status, result.content_type, replayed=True)
         else:
             answer.finish(result.status, result.content_type, headers=result.headers)
--- a/bilberryspring/request/service_calls.py
+++ b/bilberryspring/request/service_calls.py
@@ -83,7 +83,10 @@
     """Send a silent call again and return the response that is complete first."""
     answer = call.answer
     second_answer = make_buffered_response(
-        answer.request_id, answer.workspace, answer.window_chunks
+        answer.request_id,
+        answer.workspace,
+        answer.window_chunks,
+        memory=answer.memory,
     )
     second = asyncio.ensure_future(_call_on_new_connection(call, second_answer))
     try:
@@ -99,6 +102,7 @@
     finally:
         second.cancel()
         await asyncio.gather(second, return_exceptions=True)
+        second_answer.discard()
 
 
 async def _call_on_new_connection(
--- a/bilberryspring/request/tests/test_backends.py
+++ b/bilberryspring/request/tests/test_backends.py
@@ -17,6 +17,7 @@
 from bilberryspring.connection.messages import Open
 from bilberryspring.connection.tests.stream_server import serve_streams
 from bilberryspring.identifiers import ConfigVersion, RequestId, WorkspaceName
+from bilberryspring.request import buffered_response
 from bilberryspring.request.backend_call import ADAPTERS
 from bilberryspring.request.backends import (
     BackendCall,
@@ -145,6 +146,25 @@
     assert longest_s < 0.25
 
 
+@pytest.mark.parametrize("kind", [PoolKind.SERVICE, PoolKind.ENGINE])
+async def test_response_without_end_is_given_up(backend, monkeypatch, kind):
+    monkeypatch.setattr(buffered_response, "MAX_RESPONSE_BYTES", 1_000_000)
+
+    async def respond(request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while True:
+            await response.write(b"data: a\n\n" * 1000)
+
+    backend.respond = respond
+    async with asyncio.timeout(5.0):
+        result, backend_call = await call(backend.address, kind)
+    assert result.kind is ErrorKind.BACKEND_FAILED
+    assert result.outcome is Outcome.UNKNOWN
+    assert backend_call.answer.is_given_up and not backend_call.answer.chunks
+    assert len(backend.requests) == 1
+
+
 @pytest.mark.parametrize("size_bytes", [1000, 100_000, 6_000_000])
 async def test_large_response_is_whole(backend, size_bytes):
     body = bytes(range(256)) * (size_bytes // 256)
--- a/bilberryspring/request/tests/test_buffered_response.py
+++ b/bilberryspring/request/tests/test_buffered_response.py
@@ -16,7 +16,12 @@
     WorkspaceName,
 )
 from bilberryspring.process.answer_store import make_answer_store
-from bilberryspring.request.buffered_response import ChunkDigest, make_buffered_response
+from bilberryspring.process.memory_bound import make_memory_bound
+from bilberryspring.request.buffered_response import (
+    ChunkDigest,
+    ResponseTooLargeError,
+    make_buffered_response,
+)
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
 
 
@@ -137,3 +142,40 @@
     assert store.retained_bytes <= 10
     assert store.find_outcome(RequestId("a")) is Outcome.RAN
     assert store.find_outcome(RequestId("z")) is None
+
+
+def test_memory_of_all_unfinished_responses_is_bounded():
+    memory = make_memory_bound(100_000)
+    answers = [
+        make_buffered_response(RequestId(name), WorkspaceName("w"), 4, memory=memory)
+        for name in ("endless", "sound", "ended")
+    ]
+    endless, sound, ended = answers
+    ended.append(b"x" * 20_000)
+    ended.finish(200, "text/plain")
+    sound.append(b"x" * 20_000)
+    with pytest.raises(ResponseTooLargeError):
+        for _ in range(10_000):
+            endless.append(b"x")
+    assert endless.is_given_up and not endless.chunks
+    assert sound.size_bytes == ended.size_bytes == 20_000
+    assert memory.held_bytes < 30_000
+    link = RecordingLink()
+    endless.attach(link, 0)
+    endless.refuse(make_failure(ErrorKind.BACKEND_FAILED), ConfigVersion(3))
+    assert [type(frame) for frame in link.sent] == [Refused]
+    sound.finish(200, "text/plain")
+    assert memory.held_bytes == 0
+
+
+def test_response_that_another_one_pushed_out_does_not_go_on():
+    memory = make_memory_bound(100_000)
+    first, second = (
+        make_buffered_response(RequestId(name), WorkspaceName("w"), 4, memory=memory)
+        for name in ("first", "second")
+    )
+    first.append(b"x" * 60_000)
+    second.append(b"x" * 50_000)
+    assert first.is_given_up
+    with pytest.raises(ResponseTooLargeError):
+        first.append(b"x")
