Measure processor time and event loop lag of reading streams

bilberryspring-load reading: streams of events in chunks of 1, 64, 4,096 and 65,536 bytes, read through the connection and the splitter.

--- a/bilberryspring/load/measure_commands.py
+++ b/bilberryspring/load/measure_commands.py
@@ -34,6 +34,12 @@
     measure_dissemination,
 )
 from bilberryspring.load.idle_costs import IdleCost, measure_idle
+from bilberryspring.load.reading_costs import (
+    CHUNK_SIZES,
+    ReadingCost,
+    format_reading_costs,
+    measure_reading,
+)
 from bilberryspring.load.slopes import (
     CPU_CASES,
     MEMORY_CASES,
@@ -226,7 +232,24 @@
         return format_dissemination(measured)
 
 
+class ReadingCommand(MeasureCommand):
+    """Measures the cost of reading streams in chunks of several sizes."""
+
+    name = "reading"
+    description = "Measure processor time and event loop lag of reading streams"
+    options = [JSON_OPTION]
+
+    def measure(self) -> list[ReadingCost]:
+        """Measure each size of chunks."""
+        return [uvloop.run(measure_reading(size)) for size in CHUNK_SIZES]
+
+    def format_measurements(self, measured: list[ReadingCost]) -> str:
+        """Return a table with a row for each size of chunks."""
+        return format_reading_costs(measured)
+
+
 MEASURE_COMMANDS = (
+    ReadingCommand,
     SlopesCommand,
     CapacityCommand,
     ClaimsCommand,
