Bound what the kernel receives for a connection that is not read

Bytes that are received and not yet read count towards the memory of the machine. The kernel grows a socket's receive buffer to some megabytes, and a connection that waits for its turn or for a slow caller is not read: 20 MB at once were seen beside 64 failures without end in one-byte chunks.

Change: connections of callers and to servers have a receive buffer of 128 KiB. The test of memory counts unread bytes of the router's sockets with its resident memory.

--- a/bilberryspring/connection/input_turns.py
+++ b/bilberryspring/connection/input_turns.py
@@ -10,6 +10,7 @@
 import asyncio
 import heapq
 import itertools
+import socket
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -24,6 +25,8 @@
     "find_input_turns",
 ]
 
+# The kernel grows a receive buffer without a stated size to some megabytes.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 # Largest read from a connection.
 READ_BYTES = 64 * 1024
 # A read of at most this size is parsed at once if no earlier bytes wait.
@@ -149,8 +152,10 @@
         return True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
+        """Store the transport, and bound what the kernel receives for it."""
         self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read."""
--- a/bilberryspring/connection/tests/test_input_turns.py
+++ b/bilberryspring/connection/tests/test_input_turns.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -13,6 +14,7 @@
 from bilberryspring.connection.input_turns import (
     DIRECT_BYTES,
     READ_BYTES,
+    RECEIVE_BUFFER_BYTES,
     SLICE_BYTES,
     TurnProtocol,
 )
@@ -41,10 +43,19 @@
 
 
 class FakeTransport:
-    """Transport that records whether reading is paused."""
+    """Transport that records whether reading is paused, and the socket's options."""
 
     is_paused = False
 
+    def __init__(self):
+        self.options = {}
+
+    def get_extra_info(self, name):
+        return {"socket": self}[name]
+
+    def setsockopt(self, level, option, value):
+        self.options[option] = value
+
     def pause_reading(self):
         self.is_paused = True
 
@@ -116,6 +127,11 @@
     assert b"".join(connection.slices) == b"a" + b"b" * READ_BYTES + b"c"
 
 
+async def test_what_the_kernel_receives_is_bounded(connect):
+    options = connect()._transport.options
+    assert options == {socket.SO_RCVBUF: RECEIVE_BUFFER_BYTES}
+
+
 async def test_reading_pauses_while_there_is_no_room(connect):
     connection = connect()
     connection.has_room = False
--- a/bilberryspring/platform/tests/test_endless_responses.py
+++ b/bilberryspring/platform/tests/test_endless_responses.py
@@ -191,7 +191,7 @@
     :param order_statuses: status of each order.
     :param readiness_times_s: duration of each readiness check.
     :param are_books_whole: whether each large answer was whole.
-    :param peak_memory_mb: highest resident memory of the router.
+    :param peak_memory_mb: highest memory of the router, with unread bytes.
     """
 
     order_times_s: list = field(default_factory=list)
@@ -202,8 +202,22 @@
 
 
 def read_memory_mb(pid):
+    """Return the memory of a process with what its sockets have not read yet."""
     text = Path(f"/proc/{pid}/status").read_text()
-    return int(re.search(r"VmRSS:\s+(\d+)", text)[1]) / 1024
+    resident_kib = int(re.search(r"VmRSS:\s+(\d+)", text)[1])
+    return resident_kib / 1024 + read_unread_bytes(pid) / 1024**2
+
+
+def read_unread_bytes(pid):
+    links = []
+    for entry in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            links.append(str(entry.readlink()))
+        except OSError:
+            continue  # closed meanwhile
+    inodes = {link[8:-1] for link in links if link.startswith("socket:[")}
+    rows = (line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:])
+    return sum(int(row[4].split(":")[1], 16) for row in rows if row[9] in inodes)
 
 
 async def order_repeatedly(session, router, client, end_s, observed):
@@ -371,6 +385,9 @@
 
 SLOW_BYTES_PER_S = 900_000
 MANY_FORMS = {
+    "failure-at-full-speed": Form(
+        b"x" * 64, 500, UNFRAMED, is_chunk=False, path="/long/x"
+    ),
     "failure-unframed": Form(
         b"x" * 64,
         500,
