Collect bodies in parts of one size, and test the number of headers

Cause: 30 buffers that grow in turns leave gaps in the memory of the process.

Change: bodies of callers, and of responses that are relayed as a whole, are collected in parts of 16 KiB. The bound on requests is 48 MiB, as for responses. The bounds on the number of headers had no test that fails without them; they have one each now.

--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -11,6 +11,7 @@
 import httptools
 
 from bilberryspring.connection.caller_policy import CallerPolicy
+from bilberryspring.connection.collected_bytes import CollectedBytes
 from bilberryspring.connection.input_turns import TurnProtocol
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import log_event
@@ -115,7 +116,7 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._body = bytearray()
+        self._body = CollectedBytes()
         self._receive_started_s = 0.0
         self._has_head = False
         self._error_status = 0
@@ -186,7 +187,7 @@
         self._is_disconnected = True
         self._requests.clear()
         self._unparsed.clear()
-        self._body = bytearray()
+        self._body.clear()
         self._update_held_bytes()
         self._write_ready.set()
         self._connections.discard(self)
@@ -260,7 +261,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, and check the size limit."""
-        self._body += body
+        self._body.append(body)
         if len(self._body) > self._policy.limits.max_body_bytes:
             self._error_status = 413
             raise ValueError("the body is too large")
@@ -271,7 +272,7 @@
             method=self._parser.get_method().decode("ascii"),
             target=self._url,
             headers=self._headers,
-            body=bytes(self._body),
+            body=self._body.join(),
             received_s=self._receive_started_s,
             closes_connection=not self._parser.should_keep_alive(),
         )
@@ -290,7 +291,7 @@
             return
         self._reject_input(503)
         self._unparsed.clear()
-        self._body = bytearray()
+        self._body.clear()
 
     def _update_held_bytes(self) -> None:
         if self._upload_holder is None:
--- a/bilberryspring/connection/tests/test_http_backend.py
+++ b/bilberryspring/connection/tests/test_http_backend.py
@@ -11,7 +11,9 @@
 import pytest
 import uvloop
 
+from bilberryspring.capability.backend_calls import Excess
 from bilberryspring.connection.http_backend import (
+    MAX_HEADERS,
     READ_HIGH_WATER_BYTES,
     ConnectionFailure,
     ConnectionFailureKind,
@@ -361,3 +363,20 @@
 
         found, _, _ = await exchange(respond)
         assert isinstance(found, ConnectionFailure), head[:cut]
+
+
+@pytest.mark.parametrize("count", [MAX_HEADERS, MAX_HEADERS + 1])
+@pytest.mark.parametrize("is_interim", [False, True])
+async def test_headers_are_limited_in_number(count, is_interim):
+    async def respond(writer):
+        headers = b"a: b\r\n" * (count - 2)
+        interim = b"HTTP/1.1 103 Hints\r\n%b\r\n" % headers if is_interim else b""
+        writer.write(interim + b"HTTP/1.1 200 OK\r\n")
+        writer.write(b"" if is_interim else headers)
+        writer.write(b"c: d\r\nContent-Length: 2\r\n\r\nhi")
+
+    head, body, _ = await exchange(respond)
+    if count == MAX_HEADERS:
+        assert (head.status, body) == (200, b"hi")
+    else:
+        assert head.excess is Excess.HEAD
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 import time
+from dataclasses import replace
 
 import pytest
 import uvloop
@@ -14,7 +15,7 @@
 from bilberryspring.capability.routing import CallerLimits
 from bilberryspring.connection import http_caller
 from bilberryspring.connection.caller_policy import CallerPolicy
-from bilberryspring.connection.http_caller import CallerConnection
+from bilberryspring.connection.http_caller import MAX_HEADERS, CallerConnection
 
 
 def make_policy(header_s=0.3, idle_s=0.5):
@@ -402,3 +403,15 @@
             writer.write(b"x")
             await asyncio.sleep(0.01)
     writer.close()
+
+
+@pytest.mark.parametrize(
+    ("count", "status"), [(MAX_HEADERS, 200), (MAX_HEADERS + 1, 431)]
+)
+async def test_headers_are_limited_in_number(count, status):
+    server = CallerServer()
+    server.policy.limits = replace(server.policy.limits, max_header_bytes=100_000)
+    reader, writer = await server.start()
+    headers = b"a: b\r\n" * (count - 1) + b"Connection: close\r\n"
+    writer.write(b"GET / HTTP/1.1\r\n" + headers + b"\r\n")
+    assert (await read_until_closed(reader)).startswith(b"HTTP/1.1 %d" % status)
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -53,7 +53,7 @@
 
 LISTEN_BACKLOG = 1024
 # Memory of all requests of callers that are being received, queued or handled.
-MAX_REQUESTS_BYTES = 64 * 1024 * 1024
+MAX_REQUESTS_BYTES = 48 * 1024 * 1024
 MAINTENANCE_INTERVAL_S = 0.5
 # Importing the metrics library blocks the event loop for a tenth of a second, so it is
 # delayed until the router serves callers.
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -23,6 +23,7 @@
     IncomingRequest,
     PoolLimits,
 )
+from bilberryspring.connection.collected_bytes import CollectedBytes
 from bilberryspring.policy.quarantine import Content
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import log_event
@@ -552,7 +553,7 @@
         progress: ResponseProgress,
         stream_token: object,
     ) -> Failure | None:
-        body = bytearray()
+        body = CollectedBytes()
         limit_bytes = (
             MAX_BUFFERED_BODY_BYTES if head.is_success else MAX_FAILURE_BODY_BYTES
         )
@@ -567,13 +568,13 @@
             reservation.record.record_response(
                 stream_token, asyncio.get_running_loop().time()
             )
-            body += chunk
+            body.append(chunk)
             if len(body) > limit_bytes:
                 reason = f"a body of more than {limit_bytes} bytes"
                 return exchange.give_up(Excess.BODY, reason)
             exchange.keep_bytes(len(body))
         progress.start(head, len(body), read_boot_time_s() - request.received_s)
-        await progress.answer.write(body)
+        await progress.answer.write(body.join())
         progress.answer.finish()
         return _SUCCESS
 
