--- a/bilberryspring/connection/frames.py
+++ b/bilberryspring/connection/frames.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import struct
 from dataclasses import fields
 from pathlib import Path
@@ -18,6 +19,7 @@
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
+    "MAX_FRAMES_PER_TURN",
     "MAX_FRAME_BYTES",
     "MAX_HANDSHAKE_FRAME_BYTES",
     "UNKNOWN_FRAME_FAILURE",
@@ -30,6 +32,8 @@
 MAX_FRAME_BYTES = 72_000_000
 # Frames of a handshake come from a process that has not proved its identity.
 MAX_HANDSHAKE_FRAME_BYTES = 64 * 1024
+# Frames that have arrived are read without a wait; other tasks run after this many.
+MAX_FRAMES_PER_TURN = 64
 # Bounds the work of reading a message whose pointers refer to the same words many
 # times: at most four times the words of the largest frame may be traversed.
 TRAVERSAL_LIMIT_WORDS = 4 * MAX_FRAME_BYTES // 8
@@ -153,7 +157,9 @@
         that is too large, truncated or malformed.
     :raises OSError: if the connection breaks.
     """
-    while True:
+    for number in itertools.count(1):
+        if number % MAX_FRAMES_PER_TURN == 0:
+            await asyncio.sleep(0)
         payload = await _read_payload(reader, max_bytes)
         if not isinstance(payload, bytes):
             return payload
--- a/bilberryspring/connection/link.py
+++ b/bilberryspring/connection/link.py
@@ -12,7 +12,11 @@
 from typing import Any
 
 from bilberryspring.connection.calls import handle_call
-from bilberryspring.connection.frames import read_frame, write_frame
+from bilberryspring.connection.frames import (
+    MAX_FRAMES_PER_TURN,
+    read_frame,
+    write_frame,
+)
 from bilberryspring.connection.messages import (
     Accepted,
     Call,
@@ -181,7 +185,11 @@
     async def run(self) -> None:
         """Read and dispatch frames until the connection ends, then abort the link."""
         try:
-            while not self.is_closed:
+            for number in itertools.count(1):
+                if self.is_closed:
+                    break
+                if number % MAX_FRAMES_PER_TURN == 0:
+                    await asyncio.sleep(0)
                 message = await read_frame(self.reader, skip_unknown=True)
                 if message is None:
                     break
--- a/bilberryspring/connection/tests/test_link.py
+++ b/bilberryspring/connection/tests/test_link.py
@@ -10,9 +10,9 @@
 import pytest
 import uvloop
 
-from bilberryspring.connection.frames import read_frame, write_frame
+from bilberryspring.connection.frames import encode_frame, read_frame, write_frame
 from bilberryspring.connection.link import make_link
-from bilberryspring.connection.messages import Chunk, Hello, Reply
+from bilberryspring.connection.messages import Chunk, Hello, Pong, Reply
 from bilberryspring.connection.tests.stream_server import make_stream_server
 from bilberryspring.identifiers import InstanceId, RequestId, WorkspaceName
 from bilberryspring.process.accounting import make_ledger
@@ -97,3 +97,22 @@
     failure, reply = run(call_peer_with_unknown_error_kind())
     assert failure.kind is ErrorKind.INTERNAL and failure.reason == "why"
     assert reply == b"answer"
+
+
+async def test_other_tasks_run_between_frames_that_arrive_at_once():
+    server, link = await open_unread_link()
+    link.reader.feed_data(encode_frame(Pong(1)) * 10_000)
+    link.reader.feed_eof()
+    ticks = 0
+
+    async def tick():
+        nonlocal ticks
+        while True:
+            ticks += 1
+            await asyncio.sleep(0)
+
+    ticking = asyncio.create_task(tick())
+    await link.run()
+    ticking.cancel()
+    await server.close()
+    assert ticks >= 100
