Let all HTTP clients of routers and agents parse in turns

The turns of the agent's session left out the other readers of another's bytes in these programs: the key-value gateway, the platform's instance list and the agent's control calls. Change: the connector moves to connection/turn_client.py and serves all of them.

--- a/bilberryspring/platform/instances.py
+++ b/bilberryspring/platform/instances.py
@@ -18,6 +18,7 @@
     Role,
 )
 from bilberryspring.connection.http_bodies import read_body
+from bilberryspring.connection.turn_client import TurnConnector
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName, Region
 from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.process.accounting import ControlMechanism, Ledger
@@ -83,7 +84,9 @@
 
     async def start(self) -> None:
         """Open the HTTP session."""
-        self._session = aiohttp.ClientSession(timeout=self._timeout)
+        self._session = aiohttp.ClientSession(
+            connector=TurnConnector(), timeout=self._timeout
+        )
 
     async def close(self) -> None:
         """Close the HTTP session."""
--- a/bilberryspring/platform/keyvalue_gateway.py
+++ b/bilberryspring/platform/keyvalue_gateway.py
@@ -9,6 +9,7 @@
 
 from bilberryspring.connection.http_bodies import BodyTooLargeError, read_body
 from bilberryspring.connection.separated_parts import read_parts
+from bilberryspring.connection.turn_client import TurnConnector
 from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.platform.keyvalue_messages import (
     JsonObject,
@@ -225,7 +226,7 @@
 
 def _make_session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=TurnConnector(limit=0),
         headers={"Content-Type": "application/json"},
         skip_auto_headers=SKIPPED_HEADERS,
     )
--- a/bilberryspring/request/backend_session.py
+++ b/bilberryspring/request/backend_session.py
@@ -4,18 +4,11 @@
 written.
 """
 
-import asyncio
-from functools import partial
 from types import SimpleNamespace
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
-from bilberryspring.connection.input_turns import (
-    DIRECT_BYTES,
-    SLICE_BYTES,
-    find_input_turns,
-)
+from bilberryspring.connection.turn_client import TurnConnector
 from bilberryspring.request.backend_call import CONNECT_TIMEOUT_S, BackendCall
 from bilberryspring.request.errors import Outcome
 
@@ -27,81 +20,6 @@
 READ_BUFFER_BYTES = 64 * 1024
 
 
-class BackendProtocol(ResponseHandler):
-    """Connection that parses large reads in turns with the others of its loop.
-
-    :param loop: event loop of the connection.
-    :ivar parse_time_s: time in seconds that turns took since the connection began.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop):
-        super().__init__(loop)
-        self._unparsed = bytearray()
-        self._is_in_turns = False
-        self.parse_time_s = 0.0
-
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes at once if they are few, else in turns.
-
-        :param data: bytes that follow those received before; none to go on with what
-            the parser holds.
-        """
-        if not data or (not self._unparsed and len(data) <= DIRECT_BYTES):
-            super().data_received(data)
-            return
-        self._unparsed += data
-        self._take_turns()
-
-    def _take_turns(self) -> None:
-        if not self._is_in_turns:
-            self._is_in_turns = True
-            find_input_turns().add(self)
-            self.update_reading()
-
-    def parse_slice(self) -> bool:
-        """Parse a slice of the received bytes, unless the body waits to be read.
-
-        :returns: whether the connection takes another turn.
-        """
-        self._is_in_turns = False
-        if self._reading_paused or not self._unparsed:
-            return False
-        data = bytes(self._unparsed[:SLICE_BYTES])
-        del self._unparsed[:SLICE_BYTES]
-        super().data_received(data)
-        self._is_in_turns = bool(self._unparsed) and not self._reading_paused
-        return self._is_in_turns
-
-    def update_reading(self) -> None:
-        """Pause reading while bytes wait, else resume it."""
-        if self._unparsed and not self._buffer_paused:
-            self._pause_reading_for_buffer()
-        elif not self._unparsed and self._buffer_paused:
-            self._resume_reading_for_buffer()
-
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Go on with the bytes that wait, once the body has been read.
-
-        :param resume_parser: whether the parser goes on with what it holds.
-        """
-        super().resume_reading(resume_parser)
-        if self._unparsed and not self._reading_paused:
-            self._take_turns()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Parse the bytes that wait, since no more will be received."""
-        rest = bytes(self._unparsed)
-        self._unparsed.clear()
-        if rest:
-            super().data_received(rest)
-        super().connection_lost(exc)
-
-    @property
-    def should_close(self) -> bool:
-        """Whether the connection cannot carry another request."""
-        return bool(self._unparsed) or super().should_close
-
-
 class BackendResponse(aiohttp.ClientResponse):
     """Response that fails if its body ends with a reset of the connection.
 
@@ -134,19 +52,13 @@
             raise error
 
 
-class BackendConnector(aiohttp.TCPConnector):
+class BackendConnector(TurnConnector):
     """Connector that does not reuse connections with unread bytes.
 
     The HTTP client would take a late copy of an earlier response, received while the
     connection was idle, for the response to the next request.
-
-    :param options: options of the base class.
     """
 
-    def __init__(self, **options: object):
-        super().__init__(**options)
-        self._factory = partial(BackendProtocol, loop=self._loop)
-
     async def connect(
         self,
         req: aiohttp.ClientRequest,
--- a/bilberryspring/request/engine_control.py
+++ b/bilberryspring/request/engine_control.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from bilberryspring.connection.turn_client import TurnConnector
+
 __all__ = ["StreamAction", "StreamReply", "make_engine_session", "send_stream_action"]
 
 STREAM_ACTION_TIMEOUT_S = 1.0
@@ -41,7 +43,9 @@
 
     :param timeout_s: longest duration of one call, including connecting.
     """
-    return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=timeout_s))
+    return aiohttp.ClientSession(
+        connector=TurnConnector(), timeout=aiohttp.ClientTimeout(total=timeout_s)
+    )
 
 
 async def send_stream_action(
