Give the routers of the test of endless responses an address of their own

test_neighbours_of_a_response_without_end_are_served[trailers] failed once, in land-check beside load on: its router could not start, since its port was in use (Errno 98, start_failed).

Cause: the test asks the kernel for a free port of 127.0.0.1, closes it and starts the router, which binds it half a second later; listeners of other tests take free ports of the same address meanwhile. Ruled out: a fault of the router, which had not started.

Change: these routers listen on an address of a block that the test has taken, as in test_server_limits.py; checks and bounds are unchanged.

--- a/bilberryspring/platform/tests/test_endless_responses.py
+++ b/bilberryspring/platform/tests/test_endless_responses.py
@@ -20,6 +20,7 @@
     ServerStandin,
 )
 from bilberryspring.platform.tests.test_front_router import deployment
+from bilberryspring.standin.addresses import make_address_block
 
 __all__ = ["deployment"]
 
@@ -318,6 +319,8 @@
 async def play(deployment):
     """Let callers use a router beside a server whose responses have no end."""
     opened = []
+    # Listeners of other tests take free ports of 127.0.0.1 at the same time.
+    addresses = make_address_block()
 
     async def play_form(form, client_count=DRAFT_CLIENTS, call=request_repeatedly):
         endless, sound = EndlessServer(form), ServerStandin("w1", delay_s=0.02)
@@ -329,7 +332,7 @@
         await deployment.store.put("servers/e1", endless.make_entry())
         sound_entry = sound.make_entry(service="writer", slots=64)
         await deployment.store.put("servers/w1", sound_entry)
-        router = await deployment.add_router()
+        router = await deployment.add_router(ip=addresses.take_host())
         await router.wait_ready()
         observed = Observations()
         end_s = time.monotonic() + TROUBLE_S
@@ -358,6 +361,7 @@
     yield play_form
     for server in opened:
         await server.close()
+    addresses.close()
 
 
 def read_stalls_s(router):
