--- a/bilberryspring/process/operator.py
+++ b/bilberryspring/process/operator.py
@@ -34,6 +34,7 @@
     format_status,
     format_timeline,
 )
+from bilberryspring.process.placement_command import ExplainRequestCommand
 from bilberryspring.process.request_timeline import (
     build_request_timeline,
     read_log_lines,
@@ -363,6 +364,7 @@
     OrderCommand,
     ExplainPlacementCommand,
     ExplainCommand,
+    ExplainRequestCommand,
 )
 
 
