Split the decision where a request goes from the act of reserving

`Dispatcher._try_reserve` decided and reserved in one step, so nobody could ask where a request would go without sending it. `PlacementPlanner.decide` now returns a `PlacementDecision`: candidates with predicted start, penalties, the reason of each server that was passed over, and the choice or the failure. `Dispatcher._commit` reserves.

--- a/bilberryspring/policy/tests/test_direct_placement.py
+++ b/bilberryspring/policy/tests/test_direct_placement.py
@@ -14,7 +14,7 @@
 )
 from bilberryspring.policy.tests.direct_replay import replay
 from bilberryspring.policy.tests.fleet_replay import CHAT_KINDS, Fleet, replay_fleet
-from bilberryspring.request import dispatcher
+from bilberryspring.request import placement_decision
 from bilberryspring.request.dispatcher import Dispatcher
 
 SEEDS = (1, 2, 3)
@@ -141,7 +141,7 @@
 def test_chats_wait_for_their_homes_instead_of_copying_their_parts(monkeypatch):
     waiting = replay_chats(NEARLY_FULL_PER_S)
     monkeypatch.setattr(direct_placement, "HOME_WAIT_SLACK_SHARE", 0.0)
-    monkeypatch.setattr(dispatcher, "PREFERRED_HOMES", 3)
+    monkeypatch.setattr(placement_decision, "PREFERRED_HOMES", 3)
     copying = replay_chats(NEARLY_FULL_PER_S)
     assert waiting.reread_tokens < 0.5 * copying.reread_tokens
     for number in range(len(CHAT_KINDS)):
--- a/bilberryspring/request/tests/test_dispatcher.py
+++ b/bilberryspring/request/tests/test_dispatcher.py
@@ -9,12 +9,12 @@
 from bilberryspring.policy.direct_placement import LOAD_LIMIT_MARGIN_REQUESTS
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import make_server_table
-from bilberryspring.request.dispatcher import (
+from bilberryspring.request.dispatcher import make_dispatcher
+from bilberryspring.request.errors import ErrorKind, Outcome
+from bilberryspring.request.placement_decision import (
     MAX_REQUESTS_PER_SLOT,
     RETRY_AFTER_SPREAD,
-    make_dispatcher,
 )
-from bilberryspring.request.errors import ErrorKind, Outcome
 from bilberryspring.request.reservations import Reservation
 from bilberryspring.request.tests.relay_fixtures import (
     ENGINE,
--- a/bilberryspring/request/tests/test_leaving_servers.py
+++ b/bilberryspring/request/tests/test_leaving_servers.py
@@ -13,8 +13,9 @@
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import make_server_table
-from bilberryspring.request.dispatcher import MAX_REQUESTS_PER_SLOT, make_dispatcher
+from bilberryspring.request.dispatcher import make_dispatcher
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
+from bilberryspring.request.placement_decision import MAX_REQUESTS_PER_SLOT
 from bilberryspring.request.relay import make_relay
 from bilberryspring.request.suspect_contents import make_suspect_contents
 from bilberryspring.request.tests.relay_fixtures import (
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -16,9 +16,9 @@
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import make_server_table
-from bilberryspring.request.dispatcher import RETRY_AFTER_SPREAD
 from bilberryspring.request.errors import ErrorKind, Outcome, make_failure
 from bilberryspring.request.event_splitter import MAX_BYTES_WITHOUT_EVENT
+from bilberryspring.request.placement_decision import RETRY_AFTER_SPREAD
 from bilberryspring.request.relay import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_FAILURE_BODY_BYTES,
