Leave out servers of availability zones that the operator evacuates

Nothing read the operator's evacuations, so requests went on to the zone.

A watcher follows them in the store, routers tell each other in their reports, and the server table leaves such servers out of those that accept work. Homes keep their ranks. Nothing is fetched from there, probed or retried there.

--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -20,6 +20,18 @@
   nextStoreEpoch @11 :UInt64;
   leavings @12 :List(ServerLeaving);
   limits @13 :List(LimitStatement);
+  evacuations @14 :List(ZoneEvacuation);
+}
+
+struct ZoneEvacuation {
+  zone @0 :UInt64;
+  evacuatedEpoch @1 :UInt64;
+  evacuatedRevision @2 :UInt64;
+  # One more than the epoch; zero while the evacuation is in force.
+  nextReturnedEpoch @3 :UInt64;
+  returnedRevision @4 :UInt64;
+  isWritten @5 :Bool;
+  ageMs @6 :UInt32;
 }
 
 struct ServerLeaving {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -11,6 +11,11 @@
 import capnp
 
 from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.evacuation_messages import (
+    EvacuationReport,
+    decode_evacuation_report,
+    encode_evacuation_report,
+)
 from bilberryspring.connection.limit_messages import (
     LimitReport,
     decode_limit_report,
@@ -42,6 +47,9 @@
 MAX_SUSPECTS = 6
 MAX_LEAVINGS = 4
 MAX_LIMITS = 8
+MAX_EVACUATIONS = 8
+# An entry of an evacuation is about as long as this many entries of loads.
+LOADS_PER_EVACUATION = 2
 MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
@@ -142,6 +150,7 @@
         if that is not known.
     :param leavings: servers that left before the store was restored.
     :param limits: statements of servers on the rate of requests that they take.
+    :param evacuations: availability zones that the operator evacuated, or took back.
     """
 
     sender: InstanceId
@@ -158,6 +167,7 @@
     store_epoch: StoreEpoch | None = None
     leavings: tuple[LeavingReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    evacuations: tuple[EvacuationReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +208,9 @@
     :returns: packed Cap'n Proto bytes.
     """
     leavings, limits = report.leavings[:MAX_LEAVINGS], report.limits[:MAX_LIMITS]
+    evacuations = report.evacuations[:MAX_EVACUATIONS]
+    load_count = MAX_LOADS - len(leavings) - len(limits)
+    load_count -= LOADS_PER_EVACUATION * len(evacuations)
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
@@ -218,7 +231,7 @@
                 "heldTokens": min(load.held_tokens, 0xFFFF_FFFF),
                 "isSuspected": load.is_suspected,
             }
-            for load in report.loads[: MAX_LOADS - len(leavings) - len(limits)]
+            for load in report.loads[: max(load_count, 0)]
         ],
         statements=[
             {
@@ -240,6 +253,7 @@
             for leaving in leavings
         ],
         limits=[encode_limit_report(limit) for limit in limits],
+        evacuations=[encode_evacuation_report(each) for each in evacuations],
     )
     return message.to_bytes_packed()
 
@@ -336,6 +350,9 @@
                 for leaving in message.leavings
             ),
             limits=tuple(decode_limit_report(limit) for limit in message.limits),
+            evacuations=tuple(
+                decode_evacuation_report(each) for each in message.evacuations
+            ),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -349,6 +366,7 @@
         ("suspects", len(message.suspects), MAX_SUSPECTS),
         ("leavings", len(message.leavings), MAX_LEAVINGS),
         ("limits", len(message.limits), MAX_LIMITS),
+        ("evacuations", len(message.evacuations), MAX_EVACUATIONS),
     ]
     if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -25,6 +25,7 @@
     CONFIGURATION_KEY,
     ConfigurationWatcher,
 )
+from bilberryspring.platform.evacuation_watcher import EvacuationWatcher
 from bilberryspring.platform.metadata_store import make_metadata_store
 from bilberryspring.platform.router_discovery import make_router_discovery
 from bilberryspring.platform.server_list_watcher import ServerListWatcher
@@ -136,6 +137,12 @@
             self._dispatcher.dispatch_all_waiting,
             settings.leaving_s,
         )
+        self._evacuation_watcher = EvacuationWatcher(
+            self._store, self._servers.evacuations
+        )
+        self._servers.evacuations.change_callbacks.append(
+            self._dispatcher.dispatch_all_waiting
+        )
         self._peers = make_router_peers(
             InstanceId(settings.instance_id),
             settings.ip,
@@ -150,6 +157,11 @@
         )
         self._server_watcher.is_store_watcher = self._peers.is_watcher
         self._configuration_watcher.is_store_watcher = self._peers.is_watcher
+        self._evacuation_watcher.is_store_watcher = self._peers.is_watcher
+        # The routers that watch the servers watch the evacuations too.
+        self._evacuation_watcher.may_skip_watching = (
+            self._server_watcher.may_skip_watching
+        )
         self._peers.on_credit_message = self._credits.receive
         self._peers.add_addresses(list(settings.seed_ips))
         self._discovery = make_router_discovery(
@@ -191,6 +203,10 @@
                 "Servers that limit the rate of requests",
                 self._servers.limits.count_limited,
             ),
+            "zones_evacuated": (
+                "Availability zones that get nothing new",
+                self._servers.evacuations.count_in_force,
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
@@ -261,6 +277,7 @@
             self._configuration_watcher.run,
             self._server_watcher.run,
             self._server_watcher.run_expiry,
+            self._evacuation_watcher.run,
             self._peers.run,
             self._discovery.run,
             self._run_maintenance,
@@ -278,6 +295,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._server_calls.close_idle()
+            self._servers.evacuations.remove_expired()
             self._retry_budget.router_count = self._peers.count_routers()
             self._dispatcher.router_count = self._retry_budget.router_count
             self._dispatcher.dispatch_all_waiting()
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -71,6 +71,11 @@
     "backend_state": Event(_STATE, "the state of a backend server changed"),
     "server_paused": Event(_STATE, "a server wants no requests for some time"),
     "server_limit": Event(_STATE, "a server's limit began, changed or ended"),
+    "zone_evacuated": Event(_STATE, "an availability zone gets nothing new"),
+    "zone_returned": Event(_STATE, "the evacuation of an availability zone ended"),
+    "zone_evacuation_lost": Event(
+        _STATE, "a restored store does not list an evacuation that is in force"
+    ),
     "credit_keeper_silent": Event(_STATE, "a router did not answer a credit question"),
     "credit_keeper_down": Event(_STATE, "a router that gives credit is down"),
     "engine_version_seen": Event(_STATE, "a version of the engine was detected"),
--- a/bilberryspring/process/server_leavings.py
+++ b/bilberryspring/process/server_leavings.py
@@ -139,6 +139,18 @@
         """
         return self._leavings[hash_name(server_id)].source
 
+    def describe(self, server_id: InstanceId) -> tuple[str, float, StoreEpoch | None]:
+        """Return who said that a server leaves, when, and in which history.
+
+        :param server_id: its id.
+        :returns: source, age in seconds and history of the store; the source is the
+            store's list if no leaving is recorded.
+        """
+        known = self._leavings.get(hash_name(server_id))
+        if known is None:
+            return LeavingSource.STORE.value, 0.0, None
+        return known.source.value, self._read_clock() - known.learnt_s, known.epoch
+
     def merge(self, reports: Iterable[LeavingReport]) -> list[NameHash]:
         """Add what another router reports.
 
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -1,7 +1,7 @@
 """Per-server state that a router uses to choose a backend server for a request."""
 
 import time
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
@@ -11,7 +11,12 @@
 from bilberryspring.capability.routing import BackendServer, PartId, Prompt
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import LeavingReport
-from bilberryspring.identifiers import InstanceId, PoolName, StoreEpoch
+from bilberryspring.identifiers import (
+    AvailabilityZone,
+    InstanceId,
+    PoolName,
+    StoreEpoch,
+)
 from bilberryspring.policy.load_estimate import (
     DEFAULT_LOAD_ESTIMATOR,
     LOAD_ESTIMATORS,
@@ -26,6 +31,7 @@
 )
 from bilberryspring.process.server_limits import make_server_limits
 from bilberryspring.process.server_pauses import ServerPause, make_server_pauses
+from bilberryspring.process.zone_evacuations import make_zone_evacuations
 
 __all__ = [
     "LoadStatement",
@@ -121,6 +127,8 @@
     :param sent_parts: prompt parts that this router sent there, the latest last.
     :param epoch: history of the store in which ``server`` was listed.
     :param pause: time for which it wants no requests of this router.
+    :param is_evacuated: whether its availability zone is evacuated, as of the latest
+        index of the table.
     """
 
     server: BackendServer
@@ -149,6 +157,12 @@
     sent_parts: OrderedDict[PartId, None] = field(default_factory=OrderedDict)
     epoch: StoreEpoch | None = None
     pause: ServerPause = field(default_factory=ServerPause)
+    is_evacuated: bool = False
+
+    @property
+    def accepts_work(self) -> bool:
+        """Whether it is neither leaving nor in an evacuated availability zone."""
+        return self.server.is_ready and not self.is_evacuated
 
     @property
     def total_requests(self) -> float:
@@ -416,6 +430,7 @@
     :param read_clock: monotonic clock, in seconds.
     :ivar leavings: servers that left.
     :ivar limits: rates of requests that servers stated as their limit.
+    :ivar evacuations: availability zones whose servers get nothing new.
     """
 
     def __init__(
@@ -429,9 +444,15 @@
         self.records: dict[InstanceId, ServerRecord] = {}
         self.leavings = make_server_leavings(read_clock)
         self.limits = make_server_limits(read_clock, self._find_name)
+        self.evacuations = make_zone_evacuations(
+            read_clock, self._count_servers_in_zone, self._find_zone_name
+        )
+        self.evacuations.change_callbacks.append(self._invalidate_index)
         self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
+        self._zone_names: dict[NameHash, AvailabilityZone] = {}
+        self._zone_sizes: Counter[AvailabilityZone] = Counter()
         self._digest = 0
         self._is_index_current = False
         self._pauses = make_server_pauses()
@@ -583,11 +604,38 @@
         }
         servers = sorted(str(listed.server) for listed in self._listed.values())
         self._digest = xxhash.xxh3_64_intdigest("\n".join(servers).encode())
+        self._zone_sizes = Counter(
+            record.server.availability_zone for record in self.records.values()
+        )
+        self._zone_names = {hash_name(zone): zone for zone in self._zone_sizes}
+        evacuated = {
+            zone for zone in self._zone_sizes if self.evacuations.is_evacuated(zone)
+        }
         for record in self.records.values():
             self._all_by_pool.setdefault(record.server.pool, []).append(record)
-            if record.server.is_ready:
+            record.is_evacuated = record.server.availability_zone in evacuated
+            if record.accepts_work:
                 self._ready_by_pool.setdefault(record.server.pool, []).append(record)
 
+    def _invalidate_index(self) -> None:
+        self._is_index_current = False
+
+    def _count_servers_in_zone(self, zone: NameHash) -> int:
+        self._rebuild_index()
+        name = self._zone_names.get(zone)
+        return 0 if name is None else self._zone_sizes[name]
+
+    def _find_zone_name(self, zone: NameHash) -> str:
+        self._rebuild_index()
+        return self._zone_names.get(zone, f"{zone:016x}")
+
+    def is_evacuated(self, record: ServerRecord) -> bool:
+        """Return whether nothing new may be sent to a server for its zone's sake.
+
+        :param record: the server's record, which the table may hold no more.
+        """
+        return self.evacuations.is_evacuated(record.server.availability_zone)
+
     @property
     def digest(self) -> int:
         """Digest of the listed servers, equal at routers with the same entries."""
@@ -597,13 +645,15 @@
     def list_ready(self, pool: PoolName) -> list[ServerRecord]:
         """Return the servers of a pool that accept new requests.
 
+        Servers of evacuated availability zones do not.
+
         :param pool: name of the backend server pool.
         """
         self._rebuild_index()
         return self._ready_by_pool.get(pool, [])
 
     def list_all(self, pool: PoolName) -> list[ServerRecord]:
-        """Return the servers of a pool, including those that are draining.
+        """Return the servers of a pool, including those that accept nothing new.
 
         :param pool: name of the backend server pool.
         """
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -55,6 +55,7 @@
     predict_engine_start_s,
     rank_home_engines,
 )
+from bilberryspring.request.server_exclusions import make_no_server_refusal
 
 __all__ = ["Dispatcher", "make_dispatcher"]
 
@@ -558,9 +559,8 @@
             r for r in ready if r.server.server_id not in request.tried_server_ids
         ]
         if not untried:
-            reason = f"pool {pool.name} has {len(ready)} servers, none is left to try"
-            return make_failure(
-                ErrorKind.NO_INSTANCE, reason, retry_after_s=NO_SERVER_RETRY_AFTER_S
+            return make_no_server_refusal(
+                self._servers, pool.name, NO_SERVER_RETRY_AFTER_S
             )
         accepting = [r for r in untried if not r.pause.is_active(now_s)]
         if not accepting:
@@ -578,7 +578,7 @@
         usable_homes = [
             home
             for home in homes
-            if home.server.is_ready
+            if home.accepts_work
             and not home.is_avoided(now_s)
             and not home.pause.is_active(now_s)
             and home.server.server_id not in request.tried_server_ids
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -311,6 +311,12 @@
         if refusal is not None:
             return refusal
         reservation = await self._acquire(request, progress)
+        while isinstance(reservation, Reservation) and self._servers.is_evacuated(
+            reservation.record
+        ):
+            # The zone was evacuated after a waiting request got its reservation.
+            self._dispatcher.release(reservation)
+            reservation = await self._acquire(request, progress)
         if isinstance(reservation, Failure):
             return reservation
         # A crash may have become known while the request waited.
@@ -366,6 +372,7 @@
         if (
             failure.kind is not ErrorKind.BACKEND_FAILED
             or failure.outcome is not Outcome.UNKNOWN
+            or self._servers.is_evacuated(record)
         ):
             return
         reachability = await self._calls.check_reachability(server)
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -113,7 +113,7 @@
     """
     shared = prompt.shared_tokens
     known = record.count_cached_tokens(prompt)
-    is_first_home = record is next((h for h in homes if h.server.is_ready), None)
+    is_first_home = record is next((h for h in homes if h.accepts_work), None)
     cached = max(known, shared) if is_first_home else known
     source = None
     if engine.can_fetch and known < shared:
@@ -161,7 +161,9 @@
 
 def _can_be_fetched_from(record: ServerRecord, now_s: float) -> bool:
     # A transfer is work for its source, so a server in a pause is none.
-    return not record.is_avoided(now_s) and not record.pause.is_active(now_s)
+    return not (
+        record.is_evacuated or record.is_avoided(now_s) or record.pause.is_active(now_s)
+    )
 
 
 def predict_engine_start_s(reservation: Reservation) -> float:
