--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -35,6 +35,7 @@
     predict_engine_start_s,
     rank_home_engines,
 )
+from bilberryspring.request.server_exclusions import make_no_server_refusal
 
 __all__ = [
     "INITIAL_SERVICE_TIME_S",
@@ -161,9 +162,8 @@
         if len(untried) < len(ready):
             _exclude(decision, ready, untried, Exclusion.TRIED)
         if not untried:
-            reason = f"pool {pool.name} has {len(ready)} servers, none is left to try"
-            decision.failure = make_failure(
-                ErrorKind.NO_INSTANCE, reason, retry_after_s=NO_SERVER_RETRY_AFTER_S
+            decision.failure = make_no_server_refusal(
+                self._servers, pool.name, NO_SERVER_RETRY_AFTER_S
             )
             return decision
         accepting = [r for r in untried if not r.pause.is_active(now_s)]
@@ -190,7 +190,7 @@
         usable_homes = [
             home
             for home in homes
-            if home.server.is_ready
+            if home.accepts_work
             and not home.is_avoided(now_s)
             and not home.pause.is_active(now_s)
             and home.server.server_id not in request.tried_server_ids
--- a/bilberryspring/request/placement_preview.py
+++ b/bilberryspring/request/placement_preview.py
@@ -153,9 +153,7 @@
         configuration_version=configuration_version,
         route=request.route.name,
         pool=pool.name,
-        other_pools=tuple(
-            name for name, _ in request.route.pools if name != pool.name
-        ),
+        other_pools=tuple(name for name, _ in request.route.pools if name != pool.name),
         rank_order=request.rank_order,
         prompt_tokens=0 if reservation is None else reservation.prompt_tokens,
         reserved_tokens=0 if reservation is None else reservation.held_tokens,
