Show where a request would go now, without sending it

Cause: operators could ask this of the fleet with agents only, and not with loads.

Change: explain-request asks a router at its control address. The answer comes from the decision that places requests, of which nothing is carried out, with the reason for which each server is passed over.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -18,6 +18,7 @@
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName
 from bilberryspring.platform.backend_calls import make_server_calls
 from bilberryspring.platform.caller_requests import (
+    REASON_PHRASES,
     decode_request,
     make_http_caller_response,
 )
@@ -39,6 +40,8 @@
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
 from bilberryspring.process.loop_watch import make_loop_watch
 from bilberryspring.process.memory_bound import make_memory_bound
+from bilberryspring.process.placement_answers import answer_preview_request
+from bilberryspring.process.preview_requests import EXPLAIN_PATH
 from bilberryspring.process.result_fields import COMPLETE_RESULT
 from bilberryspring.process.router_metrics import make_router_metrics
 from bilberryspring.process.router_peers import make_router_peers
@@ -75,6 +78,7 @@
 MIN_FAST_LINK_MBPS = 50.0
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
+JSON_HEADERS = [(b"Content-Type", b"application/json")]
 ERROR_KINDS_BY_STATUS = {
     400: ErrorKind.MALFORMED_REQUEST,
     408: ErrorKind.MALFORMED_REQUEST,
@@ -356,8 +360,16 @@
     async def _handle_control_request(
         self, request: HttpRequest, connection: CallerConnection
     ) -> None:
-        # The router listens here only because seeds name control addresses of machines.
-        connection.start_response(404, "Not Found", [], 0)
+        if request.error_status or request.target != EXPLAIN_PATH.encode():
+            # Seeds name the control addresses of machines.
+            connection.start_response(404, "Not Found", [], 0)
+            return
+        status, body = answer_preview_request(
+            request.body, self._routing_table, self._dispatcher, self._servers
+        )
+        reason = REASON_PHRASES[status]
+        connection.start_response(status, reason, JSON_HEADERS, len(body))
+        await connection.write(body)
 
     async def _handle_caller_request(
         self, request: HttpRequest, connection: CallerConnection
--- a/bilberryspring/process/placement_command.py
+++ b/bilberryspring/process/placement_command.py
@@ -19,11 +19,10 @@
     OperatorCommand,
 )
 from bilberryspring.process.operator_output import format_table
+from bilberryspring.process.preview_requests import EXPLAIN_PATH
 
-__all__ = ["EXPLAIN_PATH", "ExplainRequestCommand", "format_preview"]
+__all__ = ["ExplainRequestCommand", "format_preview"]
 
-# Path at a router's control address.
-EXPLAIN_PATH = "/explain-request"
 CALL_TIMEOUT_S = 5.0
 MAX_PREVIEW_BYTES = 8 * 1024 * 1024
 _TEXT_OPTIONS = {
--- a/bilberryspring/process/preview_requests.py
+++ b/bilberryspring/process/preview_requests.py
@@ -21,8 +21,10 @@
 )
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
-__all__ = ["MAX_DESCRIPTION_BYTES", "decode_preview_request"]
+__all__ = ["EXPLAIN_PATH", "decode_preview_request"]
 
+# Path at a router's control address.
+EXPLAIN_PATH = "/explain-request"
 MAX_DESCRIPTION_BYTES = 256 * 1024
 MAX_TOKENS = 2**31 - 1
 DEFAULT_TIME_LEFT_S = 30.0
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -43,6 +43,7 @@
     make_pause_refusal,
     make_placement_planner,
 )
+from bilberryspring.request.placement_preview import QueueForecast
 from bilberryspring.request.reservations import ENGINE_BASE_LATENCY_S, Reservation
 
 __all__ = ["Dispatcher", "make_dispatcher"]
@@ -376,6 +377,21 @@
             * random.uniform(1.0, RETRY_AFTER_SPREAD),
         )
 
+    def forecast_queue(
+        self, request: IncomingRequest, pool: PoolLimits, must_end_s: float
+    ) -> QueueForecast:
+        """Return what a request meets that finds no free capacity; nothing is counted.
+
+        :param request: the request.
+        :param pool: pool that serves the request.
+        :param must_end_s: time on the deadline clock by which the response must end.
+        """
+        self._waiting.setdefault(pool.name, [])
+        priority_key = self._make_priority_key(request, pool)
+        view = self._view_queue(request, pool, priority_key, must_end_s)
+        share = self._shedders[pool.name].admitted_share
+        return QueueForecast(share, predict_wait(view), compute_max_wait(view))
+
     def _predict_refusal(
         self,
         request: IncomingRequest,
--- a/bilberryspring/tests/test_odd_input.py
+++ b/bilberryspring/tests/test_odd_input.py
@@ -56,6 +56,7 @@
 from bilberryspring.process.backend_watch import _read_text
 from bilberryspring.process.node_state import decode_node_state
 from bilberryspring.process.orders import decode_order_call
+from bilberryspring.process.preview_requests import decode_preview_request
 from bilberryspring.request.cache_directory import digest_prefixes, read_messages
 from bilberryspring.request.claim_values import decode_claim_value
 from bilberryspring.request.errors import Failure
@@ -185,6 +186,15 @@
     return results
 
 
+@register_decoder(
+    to_json({"route": "orders", "workspace": "ward", "time_left_s": 2.5}),
+    to_json({"host": "a.example", "path": "/open/x", "tried": ["s1"]}),
+    to_json({"route": "open", "parts": [{"id": "p", "tokens": 7}], "model": "m"}),
+)
+def read_preview_request(content):
+    return decode_preview_request(content, TABLE, 0.0)
+
+
 @register_decoder(to_json({"revision": 3, "instances": [INSTANCE]}))
 def read_instance_list(content):
     try:
