--- a/bilberryspring/process/zone_evacuations.py
+++ b/bilberryspring/process/zone_evacuations.py
@@ -254,7 +254,8 @@
             if held is None and self._has_ended(reported):
                 # The sender missed the end, which no router may remember.
                 reported.returned_at = self._read_position
-                is_late |= self._put(report.zone, reported, "it is not in the store")
+                self._put(report.zone, reported, "it is not in the store")
+                is_late = True
             elif reported.supersedes(held):
                 if reported.is_in_force or report.age_s < RETURN_LIFETIME_S:
                     is_change |= self._put(report.zone, reported, "reported")
