--- a/bilberryspring/connection/evacuation_messages.py
+++ b/bilberryspring/connection/evacuation_messages.py
@@ -13,6 +13,7 @@
 ]
 
 MAX_AGE_MS = 0xFFFF_FFFF
+MAX_NUMBER = 2**64 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,17 +43,22 @@
     """
     fields = {
         "zone": report.zone,
-        "evacuatedEpoch": report.evacuated_at.epoch,
-        "evacuatedRevision": report.evacuated_at.revision,
+        "evacuatedEpoch": _clamp(report.evacuated_at.epoch),
+        "evacuatedRevision": _clamp(report.evacuated_at.revision),
         "isWritten": report.is_written,
         "ageMs": min(max(round(report.age_s * 1000), 0), MAX_AGE_MS),
     }
     if report.returned_at is not None:
-        fields["nextReturnedEpoch"] = report.returned_at.epoch + 1
-        fields["returnedRevision"] = report.returned_at.revision
+        fields["nextReturnedEpoch"] = _clamp(report.returned_at.epoch + 1)
+        fields["returnedRevision"] = _clamp(report.returned_at.revision)
     return fields
 
 
+def _clamp(number: int) -> int:
+    """Return the nearest number that the message can hold."""
+    return min(max(number, 0), MAX_NUMBER)
+
+
 def decode_evacuation_report(entry) -> EvacuationReport:
     """Decode an evacuation.
 
--- a/bilberryspring/platform/tests/soak_checks.py
+++ b/bilberryspring/platform/tests/soak_checks.py
@@ -15,6 +15,8 @@
 MAX_REMOVAL_DELAY_S = 2.0
 # Time within which every router reads a change of the store.
 LEARNING_S = 1.0
+# Of the 5 s that operators allow.
+MAX_EVACUATION_DELAY_S = 3.0
 MAX_CONFIGURATION_DELAY_S = 2.0
 MAX_OVERDUE_S = 0.7
 MAX_STOP_S = 8.0
@@ -93,6 +95,48 @@
             yield f"{arrival} reached a server that was removed at {removed_s:.2f}"
 
 
+def check_evacuations(harness):
+    """Check that nothing arrives in an evacuated zone, also after a restoration."""
+    for period in harness.evacuation_periods:
+        accepted_s = period.accepted_s
+        # An evacuation that was lost at once is known to no router.
+        if overlaps_fault(harness, accepted_s, accepted_s + LEARNING_S, "restored"):
+            continue
+        for arrival in harness.arrivals:
+            if (
+                harness.servers[arrival.server].zone == period.zone
+                and accepted_s + MAX_EVACUATION_DELAY_S
+                < arrival.arrived_s
+                < period.end_s
+                # A fault excuses a delay until the bound has passed once more after it.
+                and not overlaps_fault(
+                    harness,
+                    arrival.arrived_s - MAX_EVACUATION_DELAY_S,
+                    arrival.arrived_s,
+                    "store",
+                    "freeze",
+                )
+            ):
+                yield f"{arrival} reached a server in {period}"
+
+
+def check_return(harness):
+    """Check that servers of a zone get requests again after its evacuation."""
+    zones = {period.zone for period in harness.evacuation_periods}
+    sound = [
+        server.server_id
+        for server in harness.servers.values()
+        if server.zone in zones and not server.is_removed
+    ]
+    reached = {
+        arrival.server
+        for arrival in harness.arrivals
+        if arrival.arrived_s >= harness.recovered_s
+    }
+    if sound and not reached & set(sound):
+        yield f"no server of the zones {zones} got requests after the faults"
+
+
 def _find_required_change(harness, sent_s):
     """Return the index of the oldest configuration change allowed for a request."""
     numbers = [0]
@@ -281,6 +325,8 @@
     check_runs_once,
     check_not_run,
     check_removals,
+    check_evacuations,
+    check_return,
     check_configuration,
     check_stops,
     check_pauses,
--- a/bilberryspring/platform/tests/soak_harness.py
+++ b/bilberryspring/platform/tests/soak_harness.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import signal
 from dataclasses import dataclass, field
@@ -27,6 +28,7 @@
     "Arrival",
     "CallRecord",
     "ConfigurationChange",
+    "EvacuationPeriod",
     "InjectedFault",
     "LimitPeriod",
     "Refusal",
@@ -46,6 +48,8 @@
 SERVER_DELAY_S = 0.1
 READINESS_CHECK_INTERVAL_S = 0.2
 POOLS = ("desk", "annex")
+# Servers are in these availability zones in turn; the routers are in the first.
+ZONES = ("z", "y")
 # Responses are longer than one packet, so that some faults cut them in the middle.
 BODY_REPEATS = 200
 PORTS = (8428, 8423, 7020)
@@ -165,12 +169,26 @@
     answered: list[tuple[float, str]] = field(default_factory=list, repr=False)
 
 
+@dataclass
+class EvacuationPeriod:
+    """Time for which the operator evacuated an availability zone.
+
+    :param accepted_s: when the store accepted that.
+    :param end_s: when the operator asked the store to take it back.
+    """
+
+    zone: str
+    accepted_s: float
+    end_s: float = math.inf
+
+
 class SoakServer(ServerStandin):
     """A server behind a proxy, which records the time of each arrival."""
 
-    def __init__(self, server_id, pool, harness):
+    def __init__(self, server_id, pool, zone, harness):
         super().__init__(server_id, EVENTS_PER_STREAM, SERVER_DELAY_S)
         self.pool = pool
+        self.zone = zone
         self.proxy = None
         self.running = 0
         self.is_removed = False
@@ -186,7 +204,9 @@
         self.address = self.proxy.settings.address
 
     def make_proxied_entry(self, **changes):
-        return self.make_entry(service=self.pool, address=self.address, **changes)
+        return self.make_entry(
+            service=self.pool, address=self.address, zone=self.zone, **changes
+        )
 
     def state_load(self):
         return f"{self.running},0,8"
@@ -282,9 +302,11 @@
         self.configuration_changes, self.server_removals, self.router_stops = [], [], []
         self.refusals = []
         self.limit_periods = []
+        self.evacuation_periods = []
         self.recovered_s = 0.0
         # Shedding has a generator of its own, so that seeds keep their faults.
         self._shedding_rng = random.Random(f"shedding/{seed}")
+        self._evacuation_rng = random.Random(f"evacuations/{seed}")
         self._limit_rng = random.Random(f"limits/{seed}")
         self.configuration = {}
         self._ids = itertools.count()
@@ -346,7 +368,9 @@
         return proxy
 
     async def add_server(self, pool):
-        server = SoakServer(f"i-{next(self._ids)}", pool, self)
+        number = next(self._ids)
+        zone = ZONES[number % len(ZONES)]
+        server = SoakServer(f"i-{number}", pool, zone, self)
         await server.start_with_proxy()
         self.servers[server.server_id] = server
         await self.store.put(f"servers/{server.server_id}", server.make_proxied_entry())
@@ -398,6 +422,7 @@
         fault_tasks = [
             asyncio.create_task(self._shed_load_until(end_s)),
             asyncio.create_task(self._limit_rates_until(end_s)),
+            asyncio.create_task(self._evacuate_zone()),
         ]
         while self.now_s() < end_s:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -440,6 +465,18 @@
             for server in limited:
                 server.state_limit(None)
 
+    async def _evacuate_zone(self):
+        """Evacuate an availability zone during the faults, and take it back."""
+        rng = self._evacuation_rng
+        await asyncio.sleep(rng.uniform(0.0, 1.5))
+        zone = rng.choice(ZONES)
+        await self.store.put(f"op/evacuate/{zone}", b"")
+        period = EvacuationPeriod(zone, self.now_s())
+        self.evacuation_periods.append(period)
+        await asyncio.sleep(rng.uniform(4.0, 6.0))
+        period.end_s = self.now_s()
+        await self.store.put(f"op/evacuate/{zone}", None)
+
     async def _check_readiness(self):
         """Check the readiness of each router, as the platform's load balancer does."""
         while True:
--- a/bilberryspring/tests/test_odd_input.py
+++ b/bilberryspring/tests/test_odd_input.py
@@ -16,6 +16,7 @@
     decode_key_transaction,
     decode_key_transaction_result,
 )
+from bilberryspring.connection.evacuation_messages import EvacuationReport
 from bilberryspring.connection.frames import decode_frame, encode_frame
 from bilberryspring.connection.http_caller import HttpRequest
 from bilberryspring.connection.instance_list_messages import decode_list_state
@@ -25,7 +26,7 @@
     decode_credit_message,
     encode_credit_message,
 )
-from bilberryspring.connection.load_messages import decode_load_message
+from bilberryspring.connection.load_messages import NameHash, decode_load_message
 from bilberryspring.connection.messages import Ping
 from bilberryspring.connection.router_reports import (
     RouterReport,
@@ -43,8 +44,10 @@
     decode_routing_table,
     decode_server,
 )
+from bilberryspring.platform.evacuation_watcher import EvacuationWatcher
 from bilberryspring.platform.instances import parse_instance_list
 from bilberryspring.platform.metadata_messages import (
+    StoreListing,
     decode_changes,
     decode_page,
     decode_response,
@@ -56,6 +59,7 @@
 from bilberryspring.process.backend_watch import _read_text
 from bilberryspring.process.node_state import decode_node_state
 from bilberryspring.process.orders import decode_order_call
+from bilberryspring.process.zone_evacuations import make_zone_evacuations
 from bilberryspring.request.cache_directory import digest_prefixes, read_messages
 from bilberryspring.request.claim_values import decode_claim_value
 from bilberryspring.request.errors import Failure
@@ -126,7 +130,10 @@
     "weight": 1.0,
 }
 LIMIT = LimitReport(1, 2, 5.4, 0.2, 0.1, 9)
-REPORT = RouterReport("front-1", 1, 1, 1, 2, (), limits=(LIMIT,))
+EVACUATION = EvacuationReport(NameHash(3), POSITION, None, True, 0.5)
+REPORT = RouterReport(
+    "front-1", 1, 1, 1, 2, (), limits=(LIMIT,), evacuations=(EVACUATION,)
+)
 SNAPSHOT = StoreSnapshot((SnapshotEntry("servers/a", b"{}", POSITION),), 0.1)
 SETTINGS = b"""
 node = "front-1"
@@ -169,6 +176,26 @@
     return parse_body(response, lambda body: decode_changes(body, POSITION))
 
 
+@register_decoder(
+    to_json(
+        {
+            "items": [{**ITEM, "key": f"op/evacuate/{zone}"} for zone in ("z1", "z2")],
+            "currentRev": 9,
+        }
+    )
+)
+def read_evacuations(content):
+    page = read_page(content)
+    evacuations = make_zone_evacuations(count_servers=lambda zone: 1)
+    watcher = EvacuationWatcher(None, evacuations)
+    if not isinstance(page, Failure):
+        items, position, _ = page
+        watcher._apply_listing(StoreListing(items, position))
+        for item in items:
+            watcher._apply_change(item)
+    return evacuations.list_reports(8)
+
+
 @register_decoder(b"5", b"3, 0, 8, 150", b"timeout=5, max=100")
 def read_server_headers(content):
     return [_decode_load(content), _decode_keep_alive_s(content)]
