--- a/bilberryspring/platform/evacuation_watcher.py
+++ b/bilberryspring/platform/evacuation_watcher.py
@@ -1,13 +1,19 @@
 """Watch the operator's evacuations of availability zones in the metadata store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.identifiers import AvailabilityZone
-from bilberryspring.platform.metadata_messages import StoreItem, StoreListing
+from bilberryspring.platform.metadata_messages import (
+    StoreChanges,
+    StoreItem,
+    StoreListing,
+)
 from bilberryspring.platform.metadata_store import MetadataStore
 from bilberryspring.platform.store_follower import follow_prefix
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.zone_evacuations import ZoneEvacuations
+from bilberryspring.request.errors import Failure
 
 __all__ = ["EvacuationWatcher"]
 
@@ -36,7 +42,7 @@
     async def run(self) -> None:
         """Watch the evacuations until cancelled."""
         await follow_prefix(
-            self._store,
+            _StoreWithRemovals(self._store, self._evacuations, self._apply_removals),
             EVACUATIONS_PREFIX,
             max_wait_s=EVACUATION_WATCH_WAIT_S,
             pause_s=0.0,
@@ -55,6 +61,16 @@
         }
         self._evacuations.record_listing(zones, listing.position)
 
+    def _apply_removals(self, items: Iterable[StoreItem]) -> None:
+        removals = {}
+        for item in items:
+            zone = self._parse_zone(item)
+            if zone is not None and item.value is None:
+                removals[zone] = item.position
+            elif zone is not None:
+                removals.pop(zone, None)
+        self._evacuations.record_former_removals(removals)
+
     def _apply_change(self, item: StoreItem) -> None:
         zone = self._parse_zone(item)
         if zone is not None:
@@ -70,3 +86,44 @@
             log_event("update_refused", level="ERROR", reason=reason)
         self._has_refused_key = True
         return None
+
+
+class _StoreWithRemovals:
+    """A store whose first list after a restoration comes with removals before it.
+
+    Without these, an entry that the store lost could not be told from one that the
+    operator removed between the restoration and the list.
+
+    :param store: client of the store.
+    :param evacuations: evacuations from before the restoration.
+    :param apply_removals: called with the changes before the list.
+    """
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        evacuations: ZoneEvacuations,
+        apply_removals: Callable[[Iterable[StoreItem]], None],
+    ):
+        self.watch_prefix = store.watch_prefix
+        self._store = store
+        self._evacuations = evacuations
+        self._apply_removals = apply_removals
+
+    async def list_prefix(self, prefix: str) -> StoreListing | Failure:
+        """Read all keys with a prefix.
+
+        :param prefix: prefix of the keys.
+        :returns: the items, or a failure.
+        """
+        listing = await self._store.list_prefix(prefix)
+        if isinstance(listing, Failure):
+            return listing
+        epoch = listing.position.epoch
+        revision = self._evacuations.find_former_revision(epoch)
+        if revision is not None:
+            since = StorePosition(epoch, revision)
+            changes = await self._store.watch_prefix(prefix, since, 0.0)
+            if isinstance(changes, StoreChanges):
+                self._apply_removals(changes.items)
+        return listing
--- a/bilberryspring/platform/tests/test_evacuation_watcher.py
+++ b/bilberryspring/platform/tests/test_evacuation_watcher.py
@@ -148,6 +148,21 @@
     await harness.wait_for("z1", False)
 
 
+async def test_removal_right_after_a_restoration_is_told_from_a_lost_entry(harness):
+    await harness.put("z1")
+    await harness.put("z2")
+    await harness.wait_for("z2")
+    copy = harness.store.copy()
+    await harness.begin_outage()
+    await harness.store.restore(copy)
+    await harness.put("z1", None)
+    harness.store.fault = lambda request: None
+    # Any other call notices the restoration.
+    await harness.client.read_key("op/config")
+    await harness.wait_for("z1", False)
+    assert harness.evacuations.is_evacuated("z2")
+
+
 async def test_router_reads_the_store_once_while_others_watch(harness):
     await harness.put("z0")
     await harness.wait_for("z0")
--- a/bilberryspring/process/zone_evacuations.py
+++ b/bilberryspring/process/zone_evacuations.py
@@ -214,6 +214,44 @@
         self._read_position = position
         self._announce(any(changes))
 
+    def find_former_revision(self, epoch: StoreEpoch) -> int | None:
+        """Return the oldest revision of evacuations from before a restoration.
+
+        :param epoch: present history of the store.
+        :returns: revision after which the present history may have ended them; ``None``
+            if none is in force, or a list without them was read before.
+        """
+        return min(
+            (
+                held.evacuated_at.revision
+                for held in map(self._zones.__getitem__, self._in_force)
+                if held.evacuated_at.epoch < epoch and held.unlisted_since_s is None
+            ),
+            default=None,
+        )
+
+    def record_former_removals(
+        self, removals: Mapping[AvailabilityZone, StorePosition]
+    ) -> None:
+        """Record that a restored store removed entries that were written before.
+
+        :param removals: position of the removal of each zone's entry.
+        """
+        changes = []
+        for zone, position in removals.items():
+            name = hash_name(zone)
+            held = self._zones.get(name)
+            # Lower revisions may be of removals that the copy contained.
+            if (
+                held is not None
+                and held.is_in_force
+                and position.epoch > held.evacuated_at.epoch
+                and position.revision > held.evacuated_at.revision
+            ):
+                reason = "the operator took it back"
+                changes.append(self._record_returned(name, position, reason))
+        self._announce(any(changes))
+
     def record_change(
         self, zone: AvailabilityZone, position: StorePosition, is_evacuated: bool
     ) -> None:
