Send cold servers no more than they take, from all routers together

Servers that have just started state for how long they are cold and which rate they take meanwhile. Nothing read that, and a zone that came back cold crashed under the load of its chats. The rate now goes through the exchange of credits, whose keeper needs the votes of most of the first routers by the hash.

--- a/bilberryspring/capability/backend_calls.py
+++ b/bilberryspring/capability/backend_calls.py
@@ -89,6 +89,8 @@
         together; ``None`` if it named no limit.
     :param tells_limit: whether it shows that the server has this limit, or none; an
         answer that names an unreadable one, or may be of another server, does not.
+    :param cold_remaining_s: seconds for which the server says that it stays cold;
+        ``None`` if it says nothing readable.
     """
 
     status: int
@@ -101,6 +103,7 @@
     pause_s: float = 0.0
     limit_per_s: float | None = None
     tells_limit: bool = False
+    cold_remaining_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/bilberryspring/capability/routing.py
+++ b/bilberryspring/capability/routing.py
@@ -112,11 +112,20 @@
     :param max_connections: maximum number of connections that a server accepts from all
         routers together.
     :param engine: limits of the pool's engines; ``None`` if its servers are no engines.
+    :param cold_start_s: time in seconds for which a server is cold after its start;
+        zero if that is not stated.
+    :param cold_per_s: requests per second that a cold server takes from all routers
+        together; zero if its rate is not limited.
+    :param cold_problem: what is odd about these figures, for the log; empty if they are
+        sound.
     """
 
     name: PoolName
     max_connections: int
     engine: EngineLimits | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    cold_problem: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +236,9 @@
     :param started_at_ms: Unix time of its start in milliseconds; zero if unknown.
     :param report_number: number of the report that it wrote the entry with, counted
         since its start; zero if unknown. Servers that differ in it alone are equal.
+    :param cold_remaining_s: seconds for which it stayed cold when the entry was
+        written; ``None`` if it states no such time, negative if that is unreadable.
+        Servers that differ in it alone are equal.
     """
 
     server_id: InstanceId
@@ -238,6 +250,7 @@
     is_ready: bool
     started_at_ms: int
     report_number: int = field(default=0, compare=False, repr=False)
+    cold_remaining_s: float | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bilberryspring/connection/limit_messages.capnp
+++ b/bilberryspring/connection/limit_messages.capnp
@@ -12,6 +12,19 @@
   statementId @5 :UInt32;
 }
 
+# Observation that a server is cold, or warm.
+struct ColdServer {
+  server @0 :UInt64;
+  startedAtMs @1 :UInt64;
+  ratePerS @2 :Float64;
+  # When it was observed; zero if it was warm.
+  remainingMs @3 :UInt32;
+  ageMs @4 :UInt32;
+  reportNumber @5 :UInt32;
+  observationId @6 :UInt32;
+  isResponse @7 :Bool;
+}
+
 # A router asks another one for credit to send requests to a server, and is answered
 # with the same message.
 struct CreditMessage {
@@ -25,4 +38,9 @@
   retryMs @5 :UInt32;
   # Latest statement of the server that the sender knows: none or one.
   statements @6 :List(LimitStatement);
+  # Latest observation that the server is cold: none or one.
+  coldServers @7 :List(ColdServer);
+  # The sender asks for the receiver's vote as the only router that gives credit for
+  # the server or, in a reply, gives it.
+  hasVote @8 :Bool;
 }
--- a/bilberryspring/connection/limit_messages.py
+++ b/bilberryspring/connection/limit_messages.py
@@ -5,6 +5,11 @@
 
 import capnp
 
+from bilberryspring.connection.cold_messages import (
+    ColdReport,
+    decode_cold_report,
+    encode_cold_report,
+)
 from bilberryspring.connection.load_messages import NameHash
 from bilberryspring.malformed_input import MALFORMED_ERRORS
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
@@ -62,6 +67,9 @@
         number that the receiver may send.
     :param retry_s: in a reply, seconds until another question may be granted.
     :param statement: latest statement of the server that the sender knows.
+    :param cold: latest observation that the server is cold, or warm.
+    :param has_vote: whether the sender asks for the receiver's vote, to be the only
+        router that gives credit for the server; in a reply, whether it has it.
     """
 
     server: NameHash
@@ -71,6 +79,8 @@
     credits: int
     retry_s: float = 0.0
     statement: LimitReport | None = None
+    cold: ColdReport | None = None
+    has_vote: bool = False
 
 
 def encode_limit_report(report: LimitReport) -> dict[str, object]:
@@ -114,6 +124,7 @@
     :returns: the prefix, and packed Cap'n Proto bytes.
     """
     statements = [] if message.statement is None else [message.statement]
+    cold_servers = [] if message.cold is None else [message.cold]
     packed = _schema.CreditMessage.new_message(
         server=message.server,
         startedAtMs=min(max(message.started_at_ms, 0), 2**64 - 1),
@@ -122,6 +133,8 @@
         credits=min(message.credits, MAX_CREDITS),
         retryMs=_encode_ms(message.retry_s),
         statements=[encode_limit_report(each) for each in statements],
+        coldServers=[encode_cold_report(each) for each in cold_servers],
+        hasVote=message.has_vote,
     ).to_bytes_packed()
     return CREDIT_PREFIX + packed
 
@@ -137,13 +150,15 @@
             raise ValueError("no credit message")
         packed = data.removeprefix(CREDIT_PREFIX)
         message = _schema.CreditMessage.from_bytes_packed(packed)
-        if len(message.statements) > 1 or message.credits > MAX_CREDITS:
+        lengths = len(message.statements), len(message.coldServers)
+        if max(lengths) > 1 or message.credits > MAX_CREDITS:
             return make_failure(
                 ErrorKind.MALFORMED_REQUEST,
-                f"malformed credit message: {len(message.statements)} statements,"
-                f" {message.credits} credits",
+                f"malformed credit message: {lengths[0]} statements,"
+                f" {lengths[1]} cold servers, {message.credits} credits",
             )
         statements = [decode_limit_report(each) for each in message.statements]
+        cold_servers = [decode_cold_report(each) for each in message.coldServers]
         return CreditMessage(
             NameHash(message.server),
             message.startedAtMs,
@@ -152,6 +167,8 @@
             message.credits,
             message.retryMs / 1000,
             statements[0] if statements else None,
+            cold_servers[0] if cold_servers else None,
+            message.hasVote,
         )
     except MALFORMED_ERRORS as error:
         return make_failure(
--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -1,5 +1,6 @@
 @0xd3a1f0c27be94c15;
 
+using import "limit_messages.capnp".ColdServer;
 using import "limit_messages.capnp".LimitStatement;
 
 # Messages between routers that call backend servers directly.
@@ -20,6 +21,9 @@
   nextStoreEpoch @11 :UInt64;
   leavings @12 :List(ServerLeaving);
   limits @13 :List(LimitStatement);
+  # Set by the part on evacuated availability zones.
+  evacuations @14 :Void;
+  coldServers @15 :List(ColdServer);
 }
 
 struct ServerLeaving {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -11,6 +11,11 @@
 import capnp
 
 from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.cold_messages import (
+    ColdReport,
+    decode_cold_report,
+    encode_cold_report,
+)
 from bilberryspring.connection.limit_messages import (
     LimitReport,
     decode_limit_report,
@@ -42,6 +47,7 @@
 MAX_SUSPECTS = 6
 MAX_LEAVINGS = 4
 MAX_LIMITS = 8
+MAX_COLD_SERVERS = 8
 MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
@@ -142,6 +148,7 @@
         if that is not known.
     :param leavings: servers that left before the store was restored.
     :param limits: statements of servers on the rate of requests that they take.
+    :param cold_servers: observations of servers that are cold, or lately were.
     """
 
     sender: InstanceId
@@ -158,6 +165,7 @@
     store_epoch: StoreEpoch | None = None
     leavings: tuple[LeavingReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    cold_servers: tuple[ColdReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +206,8 @@
     :returns: packed Cap'n Proto bytes.
     """
     leavings, limits = report.leavings[:MAX_LEAVINGS], report.limits[:MAX_LIMITS]
+    cold_servers = report.cold_servers[:MAX_COLD_SERVERS]
+    others = len(leavings) + len(limits) + len(cold_servers)
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
@@ -218,7 +228,7 @@
                 "heldTokens": min(load.held_tokens, 0xFFFF_FFFF),
                 "isSuspected": load.is_suspected,
             }
-            for load in report.loads[: MAX_LOADS - len(leavings) - len(limits)]
+            for load in report.loads[: MAX_LOADS - others]
         ],
         statements=[
             {
@@ -240,6 +250,7 @@
             for leaving in leavings
         ],
         limits=[encode_limit_report(limit) for limit in limits],
+        coldServers=[encode_cold_report(each) for each in cold_servers],
     )
     return message.to_bytes_packed()
 
@@ -336,6 +347,9 @@
                 for leaving in message.leavings
             ),
             limits=tuple(decode_limit_report(limit) for limit in message.limits),
+            cold_servers=tuple(
+                decode_cold_report(each) for each in message.coldServers
+            ),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -349,6 +363,7 @@
         ("suspects", len(message.suspects), MAX_SUSPECTS),
         ("leavings", len(message.leavings), MAX_LEAVINGS),
         ("limits", len(message.limits), MAX_LIMITS),
+        ("cold servers", len(message.coldServers), MAX_COLD_SERVERS),
     ]
     if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -118,6 +118,7 @@
                 return replace(
                     _decode_response_head(head, load, bool(is_leaving)),
                     pause_s=self._read_pause_s(head),
+                    cold_remaining_s=self._read_cold_remaining_s(head),
                     **self._read_limit(head),
                 )
 
@@ -138,6 +139,20 @@
             return {"limit_per_s": limit_per_s, "tells_limit": _is_own(head)}
         return {"limit_per_s": None, "tells_limit": _is_own(head) and not values}
 
+    def _read_cold_remaining_s(self, head: ResponseHead) -> float | None:
+        """Return for how long the server says that it stays cold.
+
+        Of several different values, the longest readable one applies.
+        """
+        values = _list_values(head, wire.COLD_MS)
+        if not values or not _is_own(head):
+            return None
+        decoded = {self._decode_or_record("cold", v, _decode_cold_s) for v in values}
+        times_s = decoded - {None}
+        if len(times_s) > 1:
+            self._record_unreadable("cold", b", ".join(values), "several values")
+        return max(times_s, default=None)
+
     def _read_pause_s(self, head: ResponseHead) -> float:
         """Return for how long a server that sheds load wants no requests.
 
@@ -468,6 +483,17 @@
     return float(value)
 
 
+def _decode_cold_s(value: bytes) -> float | Failure:
+    """Decode a cold time in milliseconds, as seconds.
+
+    >>> _decode_cold_s(b"1500")
+    1.5
+    """
+    if _DECIMAL_PATTERN.fullmatch(value) is None:
+        return _make_decode_failure("it is not a number of milliseconds")
+    return float(value) / 1000
+
+
 def _decode_pause_s(value: bytes) -> float | Failure:
     """Decode a time in seconds, which may have a fraction.
 
--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -15,6 +15,7 @@
     make_routing_table,
 )
 from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.cold_messages import MAX_COLD_S
 from bilberryspring.identifiers import (
     AvailabilityZone,
     InstanceId,
@@ -47,6 +48,10 @@
 # Larger integers have no exact floating-point number.
 MAX_INTEGER = 2**53
 MAX_REPORT_NUMBER = 2**32 - 1
+# Stands for a cold time that is not a number of milliseconds.
+UNREADABLE_COLD_S = -1.0
+MAX_COLD_START_S = MAX_COLD_S
+MAX_COLD_PER_S = 1e6
 
 
 def decode_routing_table(
@@ -116,6 +121,7 @@
 
 def _decode_pool(service: Mapping) -> PoolLimits:
     engine = service.get("engine")
+    cold_start_s, cold_per_s, cold_problem = _read_cold_figures(service)
     return PoolLimits(
         name=PoolName(_require_string(service, "name")),
         max_connections=_read_integer(service, "maxConns", 0) or 100,
@@ -128,9 +134,36 @@
             chunk_tokens=max(1, _read_integer(engine, "stride", 1, -MAX_INTEGER)),
             can_fetch=_read_flag(engine, "moves"),
         ),
+        cold_start_s=cold_start_s,
+        cold_per_s=cold_per_s,
+        cold_problem=cold_problem,
     )
 
 
+def _read_cold_figures(service: Mapping) -> tuple[float, float, str]:
+    """Return the cold time and rate of a service, and what is odd about them.
+
+    Odd figures don't refuse the document: the rest of it is sound.
+    """
+    figures, problems = {}, []
+    for name, highest in (
+        ("coldStartS", MAX_COLD_START_S),
+        ("coldPerS", MAX_COLD_PER_S),
+    ):
+        figures[name] = 0.0
+        try:
+            figures[name] = _read_number(service, name, 0)
+        except MALFORMED_ERRORS as error:
+            problems.append(describe_error(error))
+        if figures[name] > highest:
+            problems.append(f"{name} is above {highest:g}")
+            figures[name] = highest
+    cold_start_s, cold_per_s = figures.values()
+    if not problems and cold_start_s and not cold_per_s:
+        problems.append("a cold time without a rate")
+    return cold_start_s, cold_per_s, "; ".join(problems)
+
+
 def _decode_workspace_keys(document: Mapping) -> dict[str, WorkspaceKey]:
     keys = {}
     for tenant in _require_list(document, "tenants"):
@@ -169,6 +202,7 @@
             is_ready=_READINESS_BY_STATE[entry["state"]],
             started_at_ms=_read_count(entry, "born", MAX_INTEGER),
             report_number=_read_count(entry, "seq", MAX_REPORT_NUMBER),
+            cold_remaining_s=_read_cold_remaining_s(entry),
         )
     except MALFORMED_ERRORS as error:
         reason = (
@@ -185,6 +219,15 @@
         return 0
 
 
+def _read_cold_remaining_s(entry: Mapping) -> float | None:
+    if entry.get("coldRemainingMs") is None:
+        return None
+    try:
+        return _read_number(entry, "coldRemainingMs") / 1000
+    except MALFORMED_ERRORS:
+        return UNREADABLE_COLD_S
+
+
 def _require_string(document: Mapping, name: str) -> str:
     value = document[name]
     if not isinstance(value, str):
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -96,11 +96,12 @@
         self._caller_connections: set[CallerConnection] = set()
         self._request_memory = make_memory_bound(MAX_REQUESTS_BYTES)
         self._servers = make_server_table()
+        self._servers.cold.set_bound(settings.cold_overage, settings.cold_slack)
         self._store = make_metadata_store(settings.store_address)
         self._server_calls = make_server_calls()
         self._credits = make_credit_exchange(
             settings.ip,
-            self._servers.limits,
+            self._servers.rates,
             lambda: self._peers.list_addresses(),
             lambda data, ip: self._peers.send_datagram(data, ip),
         )
@@ -191,6 +192,10 @@
                 "Servers that limit the rate of requests",
                 self._servers.limits.count_limited,
             ),
+            "servers_cold": (
+                "Servers that are cold and take requests at a limited rate",
+                self._servers.cold.count_cold,
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
@@ -306,6 +311,7 @@
     def _apply_table(self, table: RoutingTable) -> None:
         self._routing_table = table
         self._caller_policy.limits = table.limits
+        self._servers.cold.set_pools(table.pools)
         log_event(
             "configuration_adopted",
             version=table.version,
@@ -392,6 +398,7 @@
         )
         self._dispatcher.set_load_factor(settings.load_factor)
         self._server_watcher.set_drain_grace(settings.leaving_s)
+        self._servers.cold.set_bound(settings.cold_overage, settings.cold_slack)
         log_event(
             "reloaded",
             retry_ratio=settings.retry_ratio,
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -41,6 +41,9 @@
     :param retry_extra: retries allowed in a window beyond that ratio, over all routers.
     :param retry_window_s: length in seconds of the window that the retry limits cover.
     :param load_factor: maximum load of a server, as a multiple of the mean load.
+    :param cold_overage: requests that may reach a cold server in any second, as a
+        multiple of its rate.
+    :param cold_slack: requests that may reach it beyond that.
     """
 
     instance_id: str
@@ -59,6 +62,8 @@
     retry_extra: float
     retry_window_s: float
     load_factor: float
+    cold_overage: float
+    cold_slack: float
 
 
 class _SettingsReader:
@@ -167,6 +172,8 @@
         "retry_extra": read("bounds.budgetExtra", _check_not_negative, 0.0),
         "retry_window_s": read("bounds.budgetWindowS", _check_positive, 10.0),
         "load_factor": read("bounds.capFactor", _check_positive, 2.0),
+        "cold_overage": read("bounds.coldOverage", _check_positive, 1.0),
+        "cold_slack": read("bounds.coldSlack", _check_not_negative, 0.0),
     }
     if reader.errors:
         reason = f"{path}: {'; '.join(reader.errors)}"
--- a/bilberryspring/platform/wire_names.py
+++ b/bilberryspring/platform/wire_names.py
@@ -3,6 +3,7 @@
 __all__ = [
     "ATTEMPT_ID",
     "AUTHORIZATION",
+    "COLD_MS",
     "DEADLINE_MS",
     "EXPECT_SERVER",
     "HOP_BY_HOP_HEADERS",
@@ -25,6 +26,8 @@
 
 ATTEMPT_ID = b"attempt-id"
 AUTHORIZATION = b"authorization"
+# How many milliseconds a server still stays cold, in its responses to health checks.
+COLD_MS = b"cold-ms"
 DEADLINE_MS = b"deadline-ms"
 EXPECT_SERVER = b"expect-replica"
 LAST_EVENT_ID = b"last-event-id"
--- a/bilberryspring/policy/tests/fleet_replay.py
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -367,7 +367,7 @@
         self.table = make_server_table(estimator, loop.time)
         self.credits = make_credit_exchange(
             self.ip,
-            self.table.limits,
+            self.table.rates,
             lambda: self.peers.list_addresses(),
             lambda data, ip: self.peers.send_datagram(data, ip),
             loop.time,
--- a/bilberryspring/process/credit_exchange.py
+++ b/bilberryspring/process/credit_exchange.py
@@ -5,29 +5,36 @@
 request that they would send. A router whose question is not answered sends its request
 elsewhere, and asks the next router by the hash. That one gives credit only once the
 first has not answered its questions either, so that no two routers do at a time.
+
+Credit that is given twice for a cold server makes it crash. There the keeper also needs
+the votes of most of the first routers by the hash, for a short time; each of them votes
+for one router at a time. So a router that is cut off from these gives no credit.
 """
 
 import asyncio
 import random
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
 import xxhash
 
 from bilberryspring.capability.routing import BackendServer
+from bilberryspring.connection.cold_messages import ColdReport
 from bilberryspring.connection.limit_messages import (
     MAX_CREDITS,
     CreditMessage,
+    LimitReport,
     decode_credit_message,
     encode_credit_message,
 )
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.policy.rate_credits import compute_credit, compute_denial_s
+from bilberryspring.process.keeper_votes import make_keeper_votes
 from bilberryspring.process.logs import log_event
-from bilberryspring.process.server_limits import ServerLimits
+from bilberryspring.process.server_rates import ServerRates
 from bilberryspring.request.decaying_sum import DecayingSum
 from bilberryspring.request.errors import Failure
 
@@ -47,6 +54,10 @@
 # A router that answered none counts as down for this long, and is then probed again.
 DOWN_S = 3.0
 TAKEOVER_RETRY_S = 0.15
+# Routers that vote on the keeper of a cold server's credit.
+VOTERS = 9
+# Votes arrive within a round trip.
+VOTES_RETRY_S = 0.03
 # Ranks of the routers are computed again after this time.
 RANKING_LIFETIME_S = 0.25
 # Besides the routers that are listed, those count that sent something within this time.
@@ -137,7 +148,7 @@
     """Credit of this router for limited servers, and of others that ask it.
 
     :param ip: IP address of this router.
-    :param limits: limits that servers stated.
+    :param rates: lowest rate in force at each server.
     :param list_addresses: returns the IP addresses of the other routers.
     :param send: sends a datagram to the router at an address.
     :param read_clock: monotonic clock, in seconds.
@@ -147,13 +158,13 @@
     def __init__(
         self,
         ip: str,
-        limits: ServerLimits,
+        rates: ServerRates,
         list_addresses: Callable[[], list[str]],
         send: Callable[[bytes, str], None],
         read_clock: Callable[[], float] = time.monotonic,
     ):
         self._ip = ip
-        self._limits = limits
+        self._rates = rates
         self._list_addresses = list_addresses
         self._read_clock = read_clock
         self._send_datagram = send
@@ -162,6 +173,7 @@
         self._purses: OrderedDict[ServerKey, _Purse] = OrderedDict()
         self._routers: OrderedDict[str, _Router] = OrderedDict()
         self._rankings: OrderedDict[ServerKey, tuple[float, list[str]]] = OrderedDict()
+        self._votes = make_keeper_votes(ip, read_clock)
         self._next_number = random.getrandbits(31)
         self.credit_callbacks: list[Callable[[ServerKey], None]] = []
 
@@ -170,7 +182,7 @@
 
         :param server: the server.
         """
-        rate_per_s = self._limits.find_rate_per_s(server)
+        rate_per_s = self._rates.find_rate_per_s(server)
         if rate_per_s is None:
             return CreditState.UNLIMITED
         now_s = self._read_clock()
@@ -198,7 +210,7 @@
         :param server: the server that the request is sent to.
         :returns: whether the request may be sent.
         """
-        if self._limits.find_rate_per_s(server) is None:
+        if self._rates.find_rate_per_s(server) is None:
             return True
         purse = self._purses.get(_make_key(server))
         now_s = self._read_clock()
@@ -213,7 +225,7 @@
 
         :param server: the server.
         """
-        if self._limits.find_rate_per_s(server) is not None:
+        if self._rates.find_rate_per_s(server) is not None:
             self._add_credit(_make_key(server), 1)
 
     async def request(self, server: BackendServer) -> bool:
@@ -238,10 +250,15 @@
         keeper = self._find_keeper(key)
         self._next_number += 1
         number = self._next_number & 0xFFFF_FFFF
-        report = self._limits.find_report(*key)
+        limit, cold = self._rates.find_reports(*key)
         wanted = 1 + int(purse.spent.rate(self._read_clock()) * QUESTION_INTERVAL_S)
         question = CreditMessage(
-            *key, number, False, min(wanted, MAX_CREDITS), statement=report
+            *key,
+            number,
+            False,
+            min(wanted, MAX_CREDITS),
+            statement=limit,
+            cold=cold,
         )
         if keeper == self._ip:
             self._apply_reply(self._answer(question, self._ip), self._ip)
@@ -290,10 +307,8 @@
                 for ip, router in self._routers.items()
                 if now_s - router.heard_s < HEARD_LIFETIME_S
             }
-            seed = key[0] ^ key[1]
-            ranked = sorted(
-                addresses, key=lambda ip: xxhash.xxh3_64_intdigest(ip.encode(), seed)
-            )
+            self._votes.add_routers(addresses)
+            ranked = _rank(key, addresses)
             ranking = self._rankings[key] = now_s + RANKING_LIFETIME_S, ranked
             while len(self._rankings) > MAX_RANKINGS:
                 self._rankings.popitem(last=False)
@@ -317,8 +332,10 @@
         router.unanswered = 0
         router.probes_left = 0
         router.down_until_s = None
-        if message.statement is not None:
-            self._limits.merge([message.statement], ip)
+        self._rates.merge(message.statement, message.cold, ip)
+        if message.is_reply and message.has_vote:
+            key = message.server, message.started_at_ms
+            self._votes.record_vote(key, message.number, ip)
         if message.is_reply:
             self._apply_reply(message, ip)
         else:
@@ -328,8 +345,10 @@
         """Give credit, or say when another question may be granted."""
         key = question.server, question.started_at_ms
         granted, retry_s = 0, 0.0
+        reports: tuple[LimitReport | None, ColdReport | None] = None, None
         if question.credits:
-            rate_per_s = self._limits.find_rate_by_key(*key)
+            reports = self._rates.find_reports(*key)
+            rate_per_s = self._rates.find_rate_by_key(*key)
             if rate_per_s is not None:
                 granted, retry_s = self._give_credit(
                     key, rate_per_s, ip, question.credits
@@ -340,7 +359,8 @@
             True,
             granted,
             retry_s,
-            self._limits.find_report(*key) if question.credits else None,
+            *reports,
+            question.has_vote and self._votes.vote_for(key, ip),
         )
 
     def _give_credit(
@@ -350,6 +370,9 @@
         if not self._may_give_credit(key, now_s):
             self._accounts.pop(key, None)
             return 0, TAKEOVER_RETRY_S * random.uniform(1.0, 2.0)
+        if self._rates.needs_votes(*key) and not self._has_votes(key):
+            self._accounts.pop(key, None)
+            return 0, VOTES_RETRY_S * random.uniform(1.0, 2.0)
         account = self._accounts.get(key)
         if account is None:
             account = self._accounts[key] = _Account(0.0, now_s)
@@ -384,6 +407,22 @@
                 self._send(self._make_probe(key), ip)
         return all(self._is_down(key, ip, now_s) for ip in ranked[:number])
 
+    def _has_votes(self, key: ServerKey) -> bool:
+        """Return whether this router alone gives credit; ask for votes if needed."""
+        voters = _rank(key, self._votes.list_routers())[:VOTERS]
+        if self._votes.is_round_due(key):
+            self._next_number += 1
+            number = self._next_number & 0xFFFF_FFFF
+            self._votes.begin_round(key, number)
+            for ip in voters:
+                if ip == self._ip:
+                    if self._votes.vote_for(key, ip):
+                        self._votes.record_vote(key, number, ip)
+                else:
+                    question = CreditMessage(*key, number, False, 0, has_vote=True)
+                    self._send(question, ip)
+        return self._votes.has_majority(key, voters)
+
     def _is_down(self, key: ServerKey, ip: str, now_s: float) -> bool:
         """Return whether a router answered no probe; probe it if that is unknown."""
         router = self._get_router(ip)
@@ -425,7 +464,7 @@
             purse.denied_until_s = 0.0
             self._add_credit(key, credits)
         elif answer is not None or ip == self._ip:
-            rate_per_s = self._limits.find_rate_by_key(*key)
+            rate_per_s = self._rates.find_rate_by_key(*key)
             if rate_per_s is not None:
                 purse.denied_until_s = self._read_clock() + message.retry_s
                 purse.denied_rate_per_s = rate_per_s
@@ -461,6 +500,12 @@
         self._send_datagram(encode_credit_message(message), ip)
 
 
+def _rank(key: ServerKey, addresses: Iterable[str]) -> list[str]:
+    """Return addresses in the order in which all routers rank them for a server."""
+    seed = key[0] ^ key[1]
+    return sorted(addresses, key=lambda ip: xxhash.xxh3_64_intdigest(ip.encode(), seed))
+
+
 def _make_key(server: BackendServer) -> ServerKey:
     return hash_name(server.server_id), server.started_at_ms
 
@@ -471,7 +516,7 @@
 
 def make_credit_exchange(
     ip: str,
-    limits: ServerLimits,
+    rates: ServerRates,
     list_addresses: Callable[[], list[str]] = list,
     send: Callable[[bytes, str], None] = _drop,
     read_clock: Callable[[], float] = time.monotonic,
@@ -479,10 +524,10 @@
     """Return an exchange without credit.
 
     :param ip: IP address of this router.
-    :param limits: limits that servers stated.
+    :param rates: lowest rate in force at each server.
     :param list_addresses: returns the IP addresses of the other routers; by default,
         there are none, and this router keeps the credit of all servers.
     :param send: sends a datagram to the router at an address.
     :param read_clock: monotonic clock, in seconds.
     """
-    return CreditExchange(ip, limits, list_addresses, send, read_clock)
+    return CreditExchange(ip, rates, list_addresses, send, read_clock)
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -71,6 +71,12 @@
     "backend_state": Event(_STATE, "the state of a backend server changed"),
     "server_paused": Event(_STATE, "a server wants no requests for some time"),
     "server_limit": Event(_STATE, "a server's limit began, changed or ended"),
+    "server_cold": Event(_STATE, "a server is cold and takes requests at a rate"),
+    "server_warm": Event(_STATE, "a cold server is warm again"),
+    "cold_figures_odd": Event(_STATE, "figures of cold servers are odd"),
+    "credit_votes_missing": Event(
+        _STATE, "most routers do not let this one give credit"
+    ),
     "credit_keeper_silent": Event(_STATE, "a router did not answer a credit question"),
     "credit_keeper_down": Event(_STATE, "a router that gives credit is down"),
     "engine_version_seen": Event(_STATE, "a version of the engine was detected"),
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -16,6 +16,7 @@
 from bilberryspring.connection.limit_messages import CREDIT_PREFIX
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import (
+    MAX_COLD_SERVERS,
     MAX_LEAVINGS,
     MAX_LIMITS,
     MAX_LOADS,
@@ -159,6 +160,7 @@
         self._suspects = suspects
         suspects.news_callbacks.append(self._report_soon)
         servers.limits.news_callbacks.append(self._report_soon)
+        servers.cold.news_callbacks.append(self._report_soon)
         self._has_fast_link = has_fast_link
         self.on_credit_message: Callable[[bytes, str], None] = lambda data, ip: None
         self._started_at_ms = round(time.time() * 1000)
@@ -277,6 +279,7 @@
         self._suspects.merge(report.suspects)
         self._servers.merge_leavings(report.leavings)
         self._servers.limits.merge(report.limits, report.sender)
+        self._servers.cold.merge(report.cold_servers, report.sender)
 
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
@@ -301,7 +304,7 @@
         self._news_timer = None
         self._news_sent_s = self._read_clock()
         self._send_report(self._news_sent_s, is_news=True)
-        if self._servers.limits.has_news:
+        if self._servers.limits.has_news or self._servers.cold.has_news:
             self._report_soon()
 
     def _remove_expired(self, now_s: float) -> None:
@@ -338,6 +341,7 @@
             MAX_LEAVINGS, self._feed.store_epoch
         )
         limits = self._servers.limits.list_reports(MAX_LIMITS)
+        cold_servers = self._servers.cold.list_reports(MAX_COLD_SERVERS)
         self._sequence += 1
         data = encode_report(
             RouterReport(
@@ -355,11 +359,12 @@
                 self._feed.store_epoch,
                 leavings,
                 limits,
+                cold_servers=cold_servers,
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
         fanout = min(_choose_fanout(size_bytes), len(targets))
-        if suspects or leavings or limits:
+        if suspects or leavings or limits or cold_servers:
             affordable = max(int(self._budget_bytes // size_bytes), 0)
             fanout = min(fanout, affordable if is_news else max(affordable, 1))
         if not is_news:
@@ -367,6 +372,7 @@
         self._budget_bytes -= fanout * size_bytes
         if fanout:
             self._servers.limits.mark_reported(limits)
+            self._servers.cold.mark_reported(cold_servers)
         for ip in random.sample(targets, fanout):
             self._transport.sendto(data, (ip, self._port))
 
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -19,6 +19,7 @@
     LoadEvidence,
     predict_work_time_ratio,
 )
+from bilberryspring.process.cold_servers import make_cold_servers
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_leavings import (
     LeavingSource,
@@ -26,6 +27,7 @@
 )
 from bilberryspring.process.server_limits import make_server_limits
 from bilberryspring.process.server_pauses import ServerPause, make_server_pauses
+from bilberryspring.process.server_rates import make_server_rates
 
 __all__ = [
     "LoadStatement",
@@ -416,6 +418,8 @@
     :param read_clock: monotonic clock, in seconds.
     :ivar leavings: servers that left.
     :ivar limits: rates of requests that servers stated as their limit.
+    :ivar cold: servers that have just started.
+    :ivar rates: lowest rate in force at each server.
     """
 
     def __init__(
@@ -429,6 +433,8 @@
         self.records: dict[InstanceId, ServerRecord] = {}
         self.leavings = make_server_leavings(read_clock)
         self.limits = make_server_limits(read_clock, self._find_name)
+        self.cold = make_cold_servers(read_clock, self._find_name)
+        self.rates = make_server_rates(self.limits, self.cold)
         self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
@@ -459,6 +465,8 @@
             record.epoch = epoch
         if self._is_superseded(server, epoch):
             return
+        is_new_start = record is None or _is_restarted(record.server, server)
+        self.cold.record_entry(server, is_from_router, is_new_start)
         if not server.is_ready:
             self.leavings.record(server, epoch)
         elif not self.leavings.is_bound(server, epoch, is_from_router):
--- a/bilberryspring/process/tests/test_credit_exchange.py
+++ b/bilberryspring/process/tests/test_credit_exchange.py
@@ -15,12 +15,14 @@
 from bilberryspring.connection.load_messages import hash_name
 from bilberryspring.load.virtual_clock import run_on_virtual_clock
 from bilberryspring.policy.rate_credits import compute_bucket_size
+from bilberryspring.process.cold_servers import make_cold_servers
 from bilberryspring.process.credit_exchange import (
     START_DELAY_S,
     CreditState,
     make_credit_exchange,
 )
 from bilberryspring.process.server_limits import make_server_limits
+from bilberryspring.process.server_rates import make_server_rates
 from bilberryspring.request.errors import ErrorKind
 from bilberryspring.request.tests.relay_fixtures import make_server
 
@@ -35,6 +37,7 @@
     def __init__(self, count):
         self.exchanges = {}
         self.limits = {}
+        self.cold = {}
         self.messages = 0
         for number in range(count):
             self.start(f"10.0.0.{number}")
@@ -42,9 +45,10 @@
     def start(self, ip):
         loop = asyncio.get_running_loop()
         self.limits[ip] = make_server_limits(loop.time)
+        self.cold[ip] = make_cold_servers(loop.time)
         self.exchanges[ip] = make_credit_exchange(
             ip,
-            self.limits[ip],
+            make_server_rates(self.limits[ip], self.cold[ip]),
             lambda: [*self.exchanges],
             lambda data, to, ip=ip: self.send(data, ip, to),
             loop.time,
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -122,7 +122,7 @@
         credits: CreditExchange | None = None,
     ):
         self._read_clock = read_clock
-        self._credits = credits or make_credit_exchange("", servers.limits)
+        self._credits = credits or make_credit_exchange("", servers.rates)
         self._credits.credit_callbacks.append(self._use_credit)
         self._limited_rates: defaultdict[PoolName, DecayingSum] = defaultdict(
             lambda: DecayingSum(LIMITED_RATE_TIME_S)
@@ -323,7 +323,7 @@
     def _ask_for_waiting(self, pool: PoolName) -> None:
         """Ask for credit for as many servers as requests wait."""
         now_s = asyncio.get_running_loop().time()
-        questions = len(self._waiting[pool]) if len(self._servers.limits) else 0
+        questions = len(self._waiting[pool]) if len(self._servers.rates) else 0
         for record in self._servers.list_ready(pool):
             if questions <= 0:
                 break
@@ -454,7 +454,7 @@
         service_s = self.get_mean_service_s(pool.name)
         unlimited, limited_per_s = [], 0.0
         for record in self._list_accepting(pool.name):
-            rate_per_s = self._servers.limits.find_rate_per_s(record.server)
+            rate_per_s = self._servers.rates.find_rate_per_s(record.server)
             if rate_per_s is None:
                 unlimited.append(record)
             else:
@@ -483,7 +483,7 @@
     def _count_usable_slots(self, record: ServerRecord, pool: PoolLimits) -> float:
         """Return how many slots of a server requests can occupy within its limit."""
         slots = pool.engine.slots if pool.engine else record.server.slots
-        rate_per_s = self._servers.limits.find_rate_per_s(record.server)
+        rate_per_s = self._servers.rates.find_rate_per_s(record.server)
         if rate_per_s is None:
             return slots
         return min(slots, rate_per_s * self.get_mean_service_s(pool.name))
@@ -493,7 +493,7 @@
         rates = {
             record.server.server_id: rate_per_s
             for record in self._servers.list_ready(pool.name)
-            if (rate_per_s := self._servers.limits.find_rate_per_s(record.server))
+            if (rate_per_s := self._servers.rates.find_rate_per_s(record.server))
         }
         named = heapq.nsmallest(MAX_NAMED_SERVERS, rates, key=rates.get)
         return ", ".join(f"{each} at {rates[each]:.2f}/s" for each in named)
@@ -605,6 +605,7 @@
             slowness = record.compute_slowness(now_s)
             if pool.engine is None:
                 slowness *= record.predict_work_time_ratio(now_s)
+                slowness *= self._servers.cold.get_start_factor(record.server)
             start_s = self._predict_start_s(reservation, pool) * slowness
             start_s += penalties_s[record.server.server_id]
             is_near = record.server.availability_zone == self._zone
@@ -648,7 +649,7 @@
 
     def _find_credit(self, ready: list[ServerRecord]) -> dict[str, CreditState]:
         """Return whether requests may be sent to servers that limit their rate."""
-        if not len(self._servers.limits):
+        if not len(self._servers.rates):
             return {}
         states = {
             record.server.server_id: self._credits.get_state(record.server)
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -508,6 +508,9 @@
             self._servers.limits.record_answer(
                 record.server, head.limit_per_s, attempt.sent_s
             )
+        self._servers.cold.record_answer(
+            record.server, head.cold_remaining_s, attempt.sent_s
+        )
         if head.is_leaving:
             self._servers.record_statement_of_leaving(record)
         self._servers.pause(record, head.pause_s)
