--- a/bilberryspring/connection/limit_messages.capnp
+++ b/bilberryspring/connection/limit_messages.capnp
@@ -43,4 +43,6 @@
   # The sender asks for the receiver's vote as the only router that gives credit for
   # the server or, in a reply, gives it.
   hasVote @8 :Bool;
+  # The sender has started lately and gives no credit yet.
+  isStarting @9 :Bool;
 }
--- a/bilberryspring/connection/limit_messages.py
+++ b/bilberryspring/connection/limit_messages.py
@@ -70,6 +70,7 @@
     :param cold: latest observation that the server is cold, or warm.
     :param has_vote: whether the sender asks for the receiver's vote, to be the only
         router that gives credit for the server; in a reply, whether it has it.
+    :param is_starting: whether the sender has started lately and gives no credit yet.
     """
 
     server: NameHash
@@ -81,6 +82,7 @@
     statement: LimitReport | None = None
     cold: ColdReport | None = None
     has_vote: bool = False
+    is_starting: bool = False
 
 
 def encode_limit_report(report: LimitReport) -> dict[str, object]:
@@ -135,6 +137,7 @@
         statements=[encode_limit_report(each) for each in statements],
         coldServers=[encode_cold_report(each) for each in cold_servers],
         hasVote=message.has_vote,
+        isStarting=message.is_starting,
     ).to_bytes_packed()
     return CREDIT_PREFIX + packed
 
@@ -169,6 +172,7 @@
             statements[0] if statements else None,
             cold_servers[0] if cold_servers else None,
             message.hasVote,
+            message.isStarting,
         )
     except MALFORMED_ERRORS as error:
         return make_failure(
--- a/bilberryspring/policy/tests/limit_replay.py
+++ b/bilberryspring/policy/tests/limit_replay.py
@@ -1,20 +1,26 @@
 """Replay of a fleet before servers that limit the rate of requests, on a virtual clock.
 
 Routers place requests with the production dispatcher and exchange production reports
-and credit over a network that delays and loses datagrams. Routers are killed, restarted
-or join while servers state a limit, change it and end it.
+and credit over a network that delays and loses datagrams. Routers are killed,
+restarted, cut off or join, while servers state a limit, change it and end it, or
+return cold.
 """
 
 import asyncio
 import math
 import random
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from bilberryspring.capability.routing import ExecutionRule, PoolLimits
+from bilberryspring.capability.routing import (
+    EngineLimits,
+    ExecutionRule,
+    PoolLimits,
+)
 from bilberryspring.connection.load_messages import hash_name
 from bilberryspring.load.virtual_clock import run_on_virtual_clock
 from bilberryspring.policy.tests.fleet_replay import (
+    DATAGRAM_LOSS,
     NETWORK_DELAY_S,
     Network,
     Router,
@@ -22,6 +28,7 @@
 )
 from bilberryspring.request.reservations import Reservation
 from bilberryspring.request.tests.relay_fixtures import (
+    make_prompt,
     make_request,
     make_route,
     make_server,
@@ -42,6 +49,39 @@
 POOL = PoolLimits("desk", 1, None)
 SLOTS = 12
 SERVICE_S = 0.05
+ENGINE_SLOTS = 64
+ENGINE_SERVICE_S = 0.4
+# Bound on the requests at a cold server in any second, as operators state it.
+COLD_OVERAGE_FACTOR, COLD_SLACK_REQUESTS = 1.5, 5.0
+COLD_WINDOW_S = 1.0
+# Routers hear within this time that a server is cold again.
+COLD_AGAIN_S = 0.7
+# How often servers write their entries, and routers read them.
+ENTRY_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True)
+class ColdTime:
+    """Servers that turn cold together; times are since the warm-up.
+
+    :param at_s: when they go down, or turn cold if they don't.
+    :param servers: number of servers, the first ones.
+    :param down_s: how long they are down; zero if they are cold again without that.
+    :param cold_s: for how long they are cold.
+    """
+
+    at_s: float
+    servers: int
+    down_s: float = 1.0
+    cold_s: float = 4.0
+
+    @property
+    def begin_s(self):
+        return self.at_s + self.down_s
+
+    @property
+    def end_s(self):
+        return self.begin_s + self.cold_s
 
 
 @dataclass(frozen=True)
@@ -60,6 +100,14 @@
     :param joins: times in seconds at which routers join.
     :param target_s: latency target of the requests in seconds.
     :param deadline_s: time limit of the callers in seconds.
+    :param cold_times: servers that turn cold.
+    :param cold_per_s: rate that a cold server takes, in requests per second; zero if
+        that is not stated.
+    :param chats: number of chats whose prompts the servers, then engines, cache; zero
+        for plain services.
+    :param cuts: begin and end in seconds, and numbers of the routers that are cut off
+        from the others, each by itself; negative as in ``restarts``.
+    :param datagram_loss: share of the datagrams that are lost.
     """
 
     routers: int = 68
@@ -71,6 +119,11 @@
     joins: tuple[float, ...] = ()
     target_s: float = 0.3
     deadline_s: float = 1.5
+    cold_times: tuple[ColdTime, ...] = ()
+    cold_per_s: float = 0.0
+    chats: int = 0
+    cuts: tuple[tuple[float, float, tuple[int, ...]], ...] = ()
+    datagram_loss: float = DATAGRAM_LOSS
 
 
 @dataclass
@@ -142,11 +195,71 @@
             allowed += self._integrate(server_id, begin_s, end_s)
         return used / allowed
 
+    def list_cold(self, server_id):
+        """Return the times in which a server is cold."""
+        number = int(server_id[1:])
+        return [each for each in self.fleet.cold_times if number < each.servers]
+
+    def find_cold_excess(self):
+        """Return by how much the worst second at a cold server was beyond its bound."""
+        bound = COLD_OVERAGE_FACTOR * self.fleet.cold_per_s + COLD_SLACK_REQUESTS
+        worst = -math.inf
+        for server_id, times_s in self.arrivals.items():
+            for cold in self.list_cold(server_id):
+                begin_s = cold.begin_s + (0.0 if cold.down_s else COLD_AGAIN_S)
+                counted_s = [at_s for at_s in times_s if begin_s <= at_s < cold.end_s]
+                for number, first_s in enumerate(counted_s):
+                    window = [
+                        at_s
+                        for at_s in counted_s[number:]
+                        if at_s <= first_s + COLD_WINDOW_S
+                    ]
+                    worst = max(worst, len(window) - bound)
+        return worst
+
+    def compute_cold_used_share(self, delay_s=0.8):
+        """Return the share of cold servers' rates that was used, after a delay."""
+        used = allowed = 0.0
+        for number in range(self.fleet.servers):
+            for cold in self.list_cold(f"s{number}"):
+                begin_s, end_s = cold.begin_s + delay_s, cold.end_s
+                times_s = self.arrivals[f"s{number}"]
+                used += sum(begin_s <= at_s < end_s for at_s in times_s)
+                allowed += (end_s - begin_s) * self.fleet.cold_per_s
+        return used / allowed
+
+    def count_arrivals(self, begin_s, end_s):
+        """Return the arrivals at each server between two times."""
+        return [
+            sum(begin_s <= at_s < end_s for at_s in self.arrivals[f"s{number}"])
+            for number in range(self.fleet.servers)
+        ]
+
+
+class _CutNetwork(Network):
+    """Network from which some routers are cut off."""
+
+    cut_ips = frozenset()
+
+    def deliver(self, data, sender, ip):
+        if sender not in self.cut_ips and ip not in self.cut_ips:
+            super().deliver(data, sender, ip)
+
+
+def _make_pool(fleet):
+    if not fleet.chats:
+        return replace(POOL, cold_start_s=4.0, cold_per_s=fleet.cold_per_s)
+    engine = EngineLimits(ENGINE_SLOTS, 400_000, 7, True)
+    return PoolLimits(POOL.name, 500, engine, 4.0, fleet.cold_per_s)
+
 
 async def _run(fleet, seed, duration_s):
     rng = random.Random(seed)
     loop = asyncio.get_running_loop()
-    network = Network(rng)
+    network = _CutNetwork(rng, fleet.datagram_loss)
+    pool = _make_pool(fleet)
+    slots = ENGINE_SLOTS if fleet.chats else SLOTS
+    service_s = ENGINE_SERVICE_S if fleet.chats else SERVICE_S
     stopped = []
     routers, runs = {}, {}
     result = LimitResult(fleet, duration_s)
@@ -161,15 +274,47 @@
             router.peers.add_addresses([each.ip for each in routers.values()])
             await asyncio.sleep(LISTING_INTERVAL_S)
 
+    def list_servers(router):
+        """Let a router read the entries of all servers, as they were just written."""
+        now_s = loop.time() - WARM_UP_S
+        for server_number in range(fleet.servers):
+            server_id, starts, remaining_s = f"s{server_number}", 1, 0.0
+            is_down = False
+            for cold in result.list_cold(server_id):
+                is_down |= cold.at_s <= now_s < cold.begin_s
+                starts += bool(cold.down_s) and now_s >= cold.begin_s
+                if cold.begin_s <= now_s < cold.end_s:
+                    remaining_s = cold.end_s - now_s
+            server = make_server(server_id, POOL.name, slots, started_at_ms=starts)
+            if is_down:
+                router.table.remove(server_id, "it is down")
+            else:
+                written = int(now_s / ENTRY_INTERVAL_S)
+                router.table.put(
+                    replace(
+                        server,
+                        report_number=written + 100,
+                        cold_remaining_s=remaining_s,
+                    )
+                )
+
+    async def follow_list(router):
+        while True:
+            list_servers(router)
+            await asyncio.sleep(ENTRY_INTERVAL_S * rng.uniform(0.2, 1.2))
+
     def start_router(number):
         router = Router(number, network)
-        for server_number in range(fleet.servers):
-            router.table.put(make_server(f"s{server_number}", "desk", slots=SLOTS))
+        router.table.cold.set_pools({pool.name: pool})
+        router.table.cold.set_bound(COLD_OVERAGE_FACTOR, COLD_SLACK_REQUESTS)
+        list_servers(router)
         routers[number] = router
         runs[number] = [
             asyncio.create_task(router.run()),
             asyncio.create_task(list_routers(router)),
         ]
+        if fleet.cold_times:
+            runs[number].append(asyncio.create_task(follow_list(router)))
 
     def stop_router(number):
         router = routers.pop(number, None)
@@ -199,10 +344,15 @@
         return [by_ip[ip] for ip in ranked if ip in by_ip]
 
     async def serve(number, router, begun_s):
-        request = make_request(route, request_id=f"q{number}")
+        prompt = None
+        if fleet.chats:
+            # A few chats have much of the demand.
+            chat = int(fleet.chats * rng.random() ** 3)
+            prompt = make_prompt((f"chat{chat}", 700), (f"own{number}", 130))
+        request = make_request(route, request_id=f"q{number}", prompt=prompt)
         request.received_s = loop.time()
         place = await router.dispatcher.acquire(
-            request, POOL, loop.time() + fleet.deadline_s
+            request, pool, loop.time() + fleet.deadline_s
         )
         waited_s = loop.time() - request.received_s
         if not isinstance(place, Reservation):
@@ -216,8 +366,8 @@
         await asyncio.sleep(NETWORK_DELAY_S)
         result.arrivals[server.server_id].append(loop.time() - WARM_UP_S)
         present[server.server_id] += 1
-        over = max(present[server.server_id] / SLOTS, 1.0)
-        await asyncio.sleep(rng.uniform(0.5, 1.5) * SERVICE_S * over)
+        over = max(present[server.server_id] / slots, 1.0)
+        await asyncio.sleep(rng.uniform(0.5, 1.5) * service_s * over)
         present[server.server_id] -= 1
         statement, limit = find_limit(server.server_id, loop.time() - WARM_UP_S)
         await asyncio.sleep(NETWORK_DELAY_S * rng.uniform(1.0, 30.0))
@@ -234,7 +384,9 @@
     changes += [
         (at_s, "join", fleet.routers + n, 0) for n, at_s in enumerate(fleet.joins)
     ]
-    changes.sort()
+    for begin_s, end_s, numbers in fleet.cuts:
+        changes += [(begin_s, "cut", numbers, 0), (end_s, "cut", (), 0)]
+    changes.sort(key=lambda change: change[0])
     tasks = []
     while loop.time() < WARM_UP_S + duration_s:
         now_s = loop.time() - WARM_UP_S
@@ -243,6 +395,10 @@
             if kind == "join":
                 start_router(number)
                 continue
+            if kind == "cut":
+                chosen = [find_keepers()[-n - 1] if n < 0 else n for n in number]
+                network.cut_ips = {routers[n].ip for n in chosen}
+                continue
             number = find_keepers()[-number - 1] if number < 0 else number
             stop_router(number)
             if down_s < math.inf:
--- a/bilberryspring/process/cold_servers.py
+++ b/bilberryspring/process/cold_servers.py
@@ -6,6 +6,7 @@
 written, so one read shortly after a response doesn't shorten the time.
 """
 
+import math
 import random
 import time
 from collections import OrderedDict
@@ -32,6 +33,8 @@
 HISTORY_S = 30.0
 # Entries are written this much earlier than they are read, at most.
 MAX_ENTRY_DELAY_S = 1.5
+# An entry that is older by more reports than this is of a later start.
+MAX_REPORTS_LATE = 10
 # Servers listed within this time after the first one were there before this router.
 FIRST_LISTING_S = 2.0
 # The time that is left differs by less than this between entries of one cold time.
@@ -239,10 +242,8 @@
         if is_new_start and held is not None and not is_from_router:
             held.report_number = 0
         if held is not None and held.report_number and server.report_number:
-            is_same = held.report_number == server.report_number
-            if is_same or (
-                is_from_router and held.report_number > server.report_number
-            ):
+            reports_late = held.report_number - server.report_number
+            if 0 <= reports_late < (math.inf if is_from_router else MAX_REPORTS_LATE):
                 return
         self._put(
             ColdObservation(
--- a/bilberryspring/process/credit_exchange.py
+++ b/bilberryspring/process/credit_exchange.py
@@ -16,7 +16,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 import xxhash
@@ -327,11 +327,15 @@
         router, now_s = self._get_router(ip), self._read_clock()
         if now_s - router.heard_s > HEARD_LIFETIME_S:
             self._rankings.clear()
-        router.heard_s = now_s
-        router.silent_until_s = 0.0
-        router.unanswered = 0
-        router.probes_left = 0
-        router.down_until_s = None
+        if message.is_starting:
+            # The next one by the hash goes on giving credit meanwhile.
+            router.silent_until_s = now_s + SILENCE_BACKOFF_S
+        else:
+            router.heard_s = now_s
+            router.silent_until_s = 0.0
+            router.unanswered = 0
+            router.probes_left = 0
+            router.down_until_s = None
         self._rates.merge(message.statement, message.cold, ip)
         if message.is_reply and message.has_vote:
             key = message.server, message.started_at_ms
@@ -398,7 +402,7 @@
         ranked = self._rank_routers(key)
         if len(ranked) == 1:
             return True
-        if now_s < self._started_s + START_DELAY_S:
+        if self._is_starting():
             return False
         number = ranked.index(self._ip)
         if key not in self._accounts:
@@ -463,6 +467,8 @@
         if credits:
             purse.denied_until_s = 0.0
             self._add_credit(key, credits)
+        elif message.is_starting:
+            pass
         elif answer is not None or ip == self._ip:
             rate_per_s = self._rates.find_rate_by_key(*key)
             if rate_per_s is not None:
@@ -496,7 +502,15 @@
                 self._routers.popitem(last=False)
         return router
 
+    def _is_starting(self) -> bool:
+        """Return whether this router does not know the others well enough yet."""
+        return self._read_clock() < self._started_s + START_DELAY_S
+
     def _send(self, message: CreditMessage, ip: str) -> None:
+        if self._is_starting() and self._rates.needs_votes(
+            message.server, message.started_at_ms
+        ):
+            message = replace(message, is_starting=True)
         self._send_datagram(encode_credit_message(message), ip)
 
 
--- a/bilberryspring/process/keeper_votes.py
+++ b/bilberryspring/process/keeper_votes.py
@@ -16,10 +16,10 @@
 __all__ = ["KeeperVotes", "make_keeper_votes"]
 
 ServerKey = tuple[NameHash, int]
-ROUND_INTERVAL_S = 0.25
+ROUND_INTERVAL_S = 0.2
 # Two rounds may be lost.
-VOTE_LIFETIME_S = 0.8
-VOTE_BINDS_S = 1.0
+VOTE_LIFETIME_S = 0.65
+VOTE_BINDS_S = 0.85
 # A router that is down or cut off counts among the voters for this long.
 ROUTER_MEMORY_S = 60.0
 MAX_ROUTERS = 4096
@@ -121,9 +121,11 @@
         since_s = self._read_clock() - VOTE_LIFETIME_S
         votes = sum(ballot.asked_s.get(ip, since_s) > since_s for ip in voters)
         has_majority = votes > len(voters) / 2
-        if ballot.has_majority and not has_majority and len(ballot.rounds) > 1:
+        # Voters that were asked in a few rounds lately have had time to answer.
+        has_asked = sum(at_s > since_s for at_s in ballot.rounds.values()) > 2
+        if has_asked and ballot.has_majority and not has_majority:
             log_event("credit_votes_missing", votes=votes, voters=len(voters))
-        ballot.has_majority = has_majority
+        ballot.has_majority = has_majority or (ballot.has_majority and not has_asked)
         return has_majority
 
     def vote_for(self, key: ServerKey, ip: str) -> bool:
