--- a/bilberryspring/platform/tests/soak_checks.py
+++ b/bilberryspring/platform/tests/soak_checks.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from bilberryspring.platform.tests.soak_harness import (
+    COLD_PER_S,
     DEADLINE_S,
     EVENTS_PER_STREAM,
     SoakHarness,
@@ -27,6 +28,8 @@
 LIMIT_WINDOW_S = 1.0
 LIMIT_FACTOR, LIMIT_ALLOWANCE = 1.5, 5
 LIMIT_LEARNING_S = 0.5
+# What a cold server may get in any second, as the routers' settings say.
+COLD_FACTOR, COLD_ALLOWANCE = 1.5, 5
 SETTLE_TIME_S = 5.0
 LOAD_FACTOR, LOAD_ALLOWANCE = 2.0, 3
 MIN_SERVED_RATIO = 0.95
@@ -236,6 +239,27 @@
                 break
 
 
+def check_cold_servers(harness):
+    """Check that routers together send a cold server no more than it takes."""
+    allowed = COLD_FACTOR * COLD_PER_S + COLD_ALLOWANCE
+    for period in harness.cold_periods:
+        counted_s = sorted(
+            arrival.arrived_s
+            for arrival in harness.arrivals
+            if arrival.server == period.server
+            and period.begin_s + LEARNING_S < arrival.arrived_s < period.end_s
+            # A router that did not run has not heard of it when it goes on.
+            and not overlaps_fault(
+                harness, period.begin_s - LEARNING_S, arrival.arrived_s, "freeze"
+            )
+        )
+        for number, begin_s in enumerate(counted_s):
+            window = [at_s for at_s in counted_s[number:] if at_s <= begin_s + 1.0]
+            if len(window) > allowed:
+                yield f"{len(window)} requests in one second in {period}"
+                break
+
+
 def check_deadlines(harness):
     for call in harness.calls:
         overdue_s = call.ended_s - call.sent_s - DEADLINE_S
@@ -285,6 +309,7 @@
     check_stops,
     check_pauses,
     check_limits,
+    check_cold_servers,
     check_deadlines,
     check_load_bound,
     check_recovery,
--- a/bilberryspring/platform/tests/soak_harness.py
+++ b/bilberryspring/platform/tests/soak_harness.py
@@ -46,6 +46,8 @@
 SERVER_DELAY_S = 0.1
 READINESS_CHECK_INTERVAL_S = 0.2
 POOLS = ("desk", "annex")
+# Figures of the pools' cold servers.
+COLD_START_S, COLD_PER_S = 2.0, 6.0
 # Responses are longer than one packet, so that some faults cut them in the middle.
 BODY_REPEATS = 200
 PORTS = (8428, 8423, 7020)
@@ -165,6 +167,18 @@
     answered: list[tuple[float, str]] = field(default_factory=list, repr=False)
 
 
+@dataclass
+class ColdPeriod:
+    """Time in which a server was cold.
+
+    :param begin_s: when the store had the entry that said so.
+    """
+
+    server: str
+    begin_s: float
+    end_s: float
+
+
 class SoakServer(ServerStandin):
     """A server behind a proxy, which records the time of each arrival."""
 
@@ -177,6 +191,7 @@
         self.answer_fault = None
         self.shedding_end_s = 0.0
         self.limit_period = None
+        self.report_number = 1
         self.rng = random.Random(server_id)
         self._harness = harness
 
@@ -186,8 +201,17 @@
         self.address = self.proxy.settings.address
 
     def make_proxied_entry(self, **changes):
+        changes = {"seq": self.report_number, **changes}
         return self.make_entry(service=self.pool, address=self.address, **changes)
 
+    async def write_cold_entry(self, remaining_s):
+        """Write an entry that says for how long the server is cold, if it is listed."""
+        if self.is_removed:
+            return
+        self.report_number += 1
+        entry = self.make_proxied_entry(coldRemainingMs=round(remaining_s * 1000))
+        await self._harness.store.put(f"servers/{self.server_id}", entry)
+
     def state_load(self):
         return f"{self.running},0,8"
 
@@ -281,11 +305,12 @@
         self.arrivals, self.calls, self.injected_faults = [], [], []
         self.configuration_changes, self.server_removals, self.router_stops = [], [], []
         self.refusals = []
-        self.limit_periods = []
+        self.limit_periods, self.cold_periods = [], []
         self.recovered_s = 0.0
         # Shedding has a generator of its own, so that seeds keep their faults.
         self._shedding_rng = random.Random(f"shedding/{seed}")
         self._limit_rng = random.Random(f"limits/{seed}")
+        self._cold_rng = random.Random(f"cold/{seed}")
         self.configuration = {}
         self._ids = itertools.count()
         self._versions = itertools.count(4, 3)
@@ -359,7 +384,14 @@
             for route in CONFIGURATION["routes"]
         ]
         services = [
-            {"name": name, "healthPath": "/health", "maxConns": 50} for name in POOLS
+            {
+                "name": name,
+                "healthPath": "/health",
+                "maxConns": 50,
+                "coldStartS": COLD_START_S,
+                "coldPerS": COLD_PER_S,
+            }
+            for name in POOLS
         ]
         changed = {"version": version, "routes": routes, "services": services}
         self.configuration = {**CONFIGURATION, **changed}
@@ -398,6 +430,7 @@
         fault_tasks = [
             asyncio.create_task(self._shed_load_until(end_s)),
             asyncio.create_task(self._limit_rates_until(end_s)),
+            asyncio.create_task(self._turn_cold_until(end_s)),
         ]
         while self.now_s() < end_s:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -440,6 +473,25 @@
             for server in limited:
                 server.state_limit(None)
 
+    async def _turn_cold_until(self, end_s):
+        """Let one server after the other, or all of a pool, be cold for a time."""
+        rng = self._cold_rng
+        while self.now_s() < end_s:
+            await asyncio.sleep(rng.uniform(0.5, 1.5))
+            listed = [each for each in self.servers.values() if not each.is_removed]
+            chosen = [rng.choice(listed)]
+            if rng.random() < 0.3:
+                chosen = [each for each in listed if each.pool == chosen[0].pool]
+            for server in chosen:
+                await server.write_cold_entry(COLD_START_S)
+            begin_s = self.now_s()
+            await asyncio.sleep(COLD_START_S)
+            for server in chosen:
+                self.cold_periods.append(
+                    ColdPeriod(server.server_id, begin_s, self.now_s())
+                )
+                await server.write_cold_entry(0.0)
+
     async def _check_readiness(self):
         """Check the readiness of each router, as the platform's load balancer does."""
         while True:
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -559,3 +559,35 @@
 ):
     (_, tells_limit), _ = await read_limit(start, "5", status=421)
     assert not tells_limit
+
+
+async def read_cold_s(start, *values, status=200):
+    """Return the cold time that a response tells, and counts of unreadable values."""
+    lines = "".join(f"Cold-Ms: {value}\r\n" for value in values)
+    response = make_response("a", lines).replace("200 OK", f"{status} Status")
+    server, calls = await start(ScriptedServer(response))
+    head = await send_request(calls, server, "a")
+    return head.cold_remaining_s, calls.unreadable_values.counts
+
+
+@pytest.mark.parametrize(
+    ("values", "expected_s"), [((), None), (("1500",), 1.5), (("0",), 0.0)]
+)
+async def test_cold_time_of_a_response_is_decoded(start, values, expected_s):
+    assert await read_cold_s(start, *values) == (expected_s, {})
+
+
+@pytest.mark.parametrize(
+    ("values", "expected_s"),
+    [(("-5",), None), (("soon",), None), (("100", "900"), 0.9), (("x", "900"), 0.9)],
+)
+async def test_doubtful_cold_time_is_counted_and_the_longest_applies(
+    start, values, expected_s
+):
+    assert await read_cold_s(start, *values) == (expected_s, {"cold": 1})
+
+
+async def test_cold_time_in_an_answer_of_another_server_is_not_that_of_the_called_one(
+    start,
+):
+    assert await read_cold_s(start, "900", status=421) == (None, {})
--- a/bilberryspring/platform/tests/test_document_decoders.py
+++ b/bilberryspring/platform/tests/test_document_decoders.py
@@ -138,3 +138,51 @@
         RoutingTable | Failure,
     )
     assert isinstance(decode_server("i", value), BackendServer | Failure)
+
+
+def decode_pool(**figures):
+    service = {**CONFIGURATION["services"][0], **figures}
+    document = {**CONFIGURATION, "services": [service]}
+    position = StorePosition(StoreEpoch(1), 1)
+    table = decode_routing_table(json.dumps(document).encode(), position)
+    return table.pools["desk"]
+
+
+def test_figures_of_cold_servers_are_decoded():
+    pool = decode_pool(coldStartS=3.0, coldPerS=13)
+    assert (pool.cold_start_s, pool.cold_per_s, pool.cold_problem) == (3.0, 13.0, "")
+    pool = decode_pool(coldStartS=0.0, coldPerS=0.0)
+    assert (pool.cold_start_s, pool.cold_per_s, pool.cold_problem) == (0.0, 0.0, "")
+    assert decode_pool().cold_per_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("start_s", "per_s", "expected"),
+    [
+        (-1, 13.0, (0.0, 13.0)),
+        ("soon", 13.0, (0.0, 13.0)),
+        (True, 13.0, (0.0, 13.0)),
+        (3.0, -5, (3.0, 0.0)),
+        (3.0, [13], (3.0, 0.0)),
+        (3.0, 0, (3.0, 0.0)),
+        (1e300, 13.0, (300.0, 13.0)),
+        (3.0, 1e300, (3.0, 1e6)),
+    ],
+)
+def test_odd_figures_of_cold_servers_are_told_and_the_sound_ones_hold(
+    start_s, per_s, expected
+):
+    pool = decode_pool(coldStartS=start_s, coldPerS=per_s)
+    assert (pool.cold_start_s, pool.cold_per_s) == expected
+    assert pool.cold_problem
+
+
+@pytest.mark.parametrize(
+    ("remaining_ms", "expected_s"),
+    [(1500, 1.5), (0, 0.0), (None, None), (-1, -1.0), ("x", -1.0), (True, -1.0)],
+)
+def test_cold_time_of_an_entry_is_decoded(remaining_ms, expected_s):
+    entry = {**SERVER_ENTRY, "coldRemainingMs": remaining_ms}
+    server = decode_server("a", json.dumps(entry).encode())
+    assert server.cold_remaining_s == expected_s
+    assert server == decode_server("a", json.dumps(SERVER_ENTRY).encode())
--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -30,6 +30,8 @@
 graceS = {grace_s}
 retryBudgetRatio = 0.2
 budgetExtra = 50
+coldOverage = 1.5
+coldSlack = 5
 [platform]
 address = "{store}"
 """
--- a/bilberryspring/process/cold_servers.py
+++ b/bilberryspring/process/cold_servers.py
@@ -17,7 +17,7 @@
 from bilberryspring.capability.routing import BackendServer, PoolLimits
 from bilberryspring.connection.cold_messages import MAX_COLD_S, ColdReport
 from bilberryspring.connection.load_messages import NameHash, hash_name
-from bilberryspring.identifiers import PoolName
+from bilberryspring.identifiers import PoolName, StoreEpoch
 from bilberryspring.policy.cold_rates import (
     COLD_START_FACTOR,
     RAMP_S,
@@ -68,6 +68,8 @@
     :param is_response: whether it was a response of the server, here or there.
     :param report_number: number of the report of the server that was read; zero if
         unknown.
+    :param epoch: history of the store that this router read last of it; ``None`` if
+        unknown.
     :param observation_id: random number that the router drew which observed it.
     :param reported_by: router that reported it; empty if this one observed it.
     :param unsent_reports: reports that it is still to be put into as news.
@@ -83,6 +85,7 @@
     source: ColdSource
     is_response: bool = False
     report_number: int = 0
+    epoch: StoreEpoch | None = None
     observation_id: int = 0
     reported_by: str = ""
     unsent_reports: int = NEWS_REPORTS
@@ -137,7 +140,7 @@
             OrderedDict()
         )
         self._first_listed_s: float | None = None
-        self._complaints: OrderedDict[str, str] = OrderedDict()
+        self._complaints: OrderedDict[tuple[str, str], None] = OrderedDict()
         self.news_callbacks: list[Callable[[], None]] = []
 
     def __len__(self) -> int:
@@ -217,7 +220,11 @@
         return own_per_s or observation.reported_rate_per_s
 
     def record_entry(
-        self, server: BackendServer, is_from_router: bool, is_new_start: bool
+        self,
+        server: BackendServer,
+        is_from_router: bool = False,
+        is_new_start: bool = False,
+        epoch: StoreEpoch | None = None,
     ) -> None:
         """Record what the store's entry of a server tells.
 
@@ -225,6 +232,7 @@
         :param is_from_router: whether another router sent the list.
         :param is_new_start: whether the server was not listed before, or its start is
             another one.
+        :param epoch: history of the store in which it is listed; ``None`` if unknown.
         """
         now_s = self._read_clock()
         if self._first_listed_s is None:
@@ -239,7 +247,11 @@
         held = self._observations.get(_make_key(server))
         if held is None and not remaining_s:
             return
-        if is_new_start and held is not None and not is_from_router:
+        if held is not None and epoch != held.epoch:
+            # A store that was restored may list an earlier report of the same start.
+            if server.report_number < held.report_number:
+                return
+        elif is_new_start and held is not None and not is_from_router:
             held.report_number = 0
         if held is not None and held.report_number and server.report_number:
             reports_late = held.report_number - server.report_number
@@ -254,6 +266,7 @@
                 now_s,
                 source,
                 report_number=server.report_number,
+                epoch=epoch,
                 observation_id=random.getrandbits(32),
             )
         )
@@ -300,6 +313,7 @@
                 ColdSource.RESPONSE,
                 is_response=True,
                 report_number=0 if held is None else held.report_number,
+                epoch=None if held is None else held.epoch,
                 observation_id=random.getrandbits(32),
             )
         )
@@ -331,6 +345,7 @@
                     ColdSource.ROUTER,
                     report.is_response,
                     report.report_number,
+                    None if held is None else held.epoch,
                     report.observation_id,
                     sender,
                 )
@@ -452,10 +467,10 @@
 
     def _complain(self, name: str, problem: str) -> None:
         """Log what is odd about the figures of a server or pool, once."""
-        if self._complaints.get(name) == problem:
+        if (name, problem) in self._complaints:
+            self._complaints.move_to_end((name, problem))
             return
-        self._complaints[name] = problem
-        self._complaints.move_to_end(name)
+        self._complaints[name, problem] = None
         while len(self._complaints) > MAX_COMPLAINTS:
             self._complaints.popitem(last=False)
         log_event("cold_figures_odd", level="WARNING", name=name, problem=problem)
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -466,7 +466,7 @@
         if self._is_superseded(server, epoch):
             return
         is_new_start = record is None or _is_restarted(record.server, server)
-        self.cold.record_entry(server, is_from_router, is_new_start)
+        self.cold.record_entry(server, is_from_router, is_new_start, epoch)
         if not server.is_ready:
             self.leavings.record(server, epoch)
         elif not self.leavings.is_bound(server, epoch, is_from_router):
--- a/bilberryspring/tests/test_odd_input.py
+++ b/bilberryspring/tests/test_odd_input.py
@@ -16,6 +16,7 @@
     decode_key_transaction,
     decode_key_transaction_result,
 )
+from bilberryspring.connection.cold_messages import ColdReport
 from bilberryspring.connection.frames import decode_frame, encode_frame
 from bilberryspring.connection.http_caller import HttpRequest
 from bilberryspring.connection.instance_list_messages import decode_list_state
@@ -37,7 +38,11 @@
     encode_snapshot,
 )
 from bilberryspring.identifiers import StoreEpoch
-from bilberryspring.platform.backend_calls import _decode_keep_alive_s, _decode_load
+from bilberryspring.platform.backend_calls import (
+    _decode_cold_s,
+    _decode_keep_alive_s,
+    _decode_load,
+)
 from bilberryspring.platform.caller_requests import decode_request
 from bilberryspring.platform.document_decoders import (
     decode_routing_table,
@@ -126,7 +131,8 @@
     "weight": 1.0,
 }
 LIMIT = LimitReport(1, 2, 5.4, 0.2, 0.1, 9)
-REPORT = RouterReport("front-1", 1, 1, 1, 2, (), limits=(LIMIT,))
+COLD = ColdReport(1, 2, 13.0, 3.0, 0.1, 4, 9, True)
+REPORT = RouterReport("front-1", 1, 1, 1, 2, (), limits=(LIMIT,), cold_servers=(COLD,))
 SNAPSHOT = StoreSnapshot((SnapshotEntry("servers/a", b"{}", POSITION),), 0.1)
 SETTINGS = b"""
 node = "front-1"
@@ -143,12 +149,20 @@
 """
 
 
-@register_decoder(to_json(CONFIGURATION))
+COLD_SERVICE = {**CONFIGURATION["services"][0], "coldStartS": 3.0, "coldPerS": 13.0}
+
+
+@register_decoder(
+    to_json(CONFIGURATION), to_json({**CONFIGURATION, "services": [COLD_SERVICE]})
+)
 def read_configuration(content):
     return decode_routing_table(content, POSITION)
 
 
-@register_decoder(to_json({**ServerStandin().make_entry(), "address": "127.0.0.1:80"}))
+ENTRY = {**ServerStandin().make_entry(), "address": "127.0.0.1:80"}
+
+
+@register_decoder(to_json(ENTRY), to_json({**ENTRY, "coldRemainingMs": 3000}))
 def read_server(content):
     return decode_server("a", content)
 
@@ -171,7 +185,11 @@
 
 @register_decoder(b"5", b"3, 0, 8, 150", b"timeout=5, max=100")
 def read_server_headers(content):
-    return [_decode_load(content), _decode_keep_alive_s(content)]
+    return [
+        _decode_load(content),
+        _decode_keep_alive_s(content),
+        _decode_cold_s(content),
+    ]
 
 
 @register_decoder(b"5", b"12,9", b"a:9,b:3", b"1e999", b"nan", b"Bearer x")
@@ -199,7 +217,10 @@
     return decode_report(content)
 
 
-@register_decoder(encode_credit_message(CreditMessage(1, 2, 3, True, 1, 0.5, LIMIT)))
+@register_decoder(
+    encode_credit_message(CreditMessage(1, 2, 3, True, 1, 0.5, LIMIT)),
+    encode_credit_message(CreditMessage(1, 2, 3, True, 1, 0.5, LIMIT, COLD, True)),
+)
 def read_credit_message(content):
     return decode_credit_message(content)
 
