--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -1,5 +1,6 @@
 @0xd3a1f0c27be94c15;
 
+using import "limit_messages.capnp".ColdServer;
 using import "limit_messages.capnp".LimitStatement;
 
 # Messages between routers that call backend servers directly.
@@ -21,6 +22,7 @@
   leavings @12 :List(ServerLeaving);
   limits @13 :List(LimitStatement);
   evacuations @14 :List(ZoneEvacuation);
+  coldServers @15 :List(ColdServer);
 }
 
 struct ZoneEvacuation {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -11,6 +11,11 @@
 import capnp
 
 from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.cold_messages import (
+    ColdReport,
+    decode_cold_report,
+    encode_cold_report,
+)
 from bilberryspring.connection.evacuation_messages import (
     EvacuationReport,
     decode_evacuation_report,
@@ -50,6 +55,7 @@
 MAX_EVACUATIONS = 8
 # An entry of an evacuation is about as long as this many entries of loads.
 LOADS_PER_EVACUATION = 2
+MAX_COLD_SERVERS = 8
 MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
@@ -151,6 +157,7 @@
     :param leavings: servers that left before the store was restored.
     :param limits: statements of servers on the rate of requests that they take.
     :param evacuations: availability zones that the operator evacuated, or took back.
+    :param cold_servers: observations of servers that are cold, or lately were.
     """
 
     sender: InstanceId
@@ -168,6 +175,7 @@
     leavings: tuple[LeavingReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     evacuations: tuple[EvacuationReport, ...] = ()
+    cold_servers: tuple[ColdReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,7 +217,8 @@
     """
     leavings, limits = report.leavings[:MAX_LEAVINGS], report.limits[:MAX_LIMITS]
     evacuations = report.evacuations[:MAX_EVACUATIONS]
-    load_count = MAX_LOADS - len(leavings) - len(limits)
+    cold_servers = report.cold_servers[:MAX_COLD_SERVERS]
+    load_count = MAX_LOADS - len(leavings) - len(limits) - len(cold_servers)
     load_count -= LOADS_PER_EVACUATION * len(evacuations)
     message = _schema.RouterReport.new_message(
         sender=report.sender,
@@ -254,6 +263,7 @@
         ],
         limits=[encode_limit_report(limit) for limit in limits],
         evacuations=[encode_evacuation_report(each) for each in evacuations],
+        coldServers=[encode_cold_report(each) for each in cold_servers],
     )
     return message.to_bytes_packed()
 
@@ -353,6 +363,9 @@
             evacuations=tuple(
                 decode_evacuation_report(each) for each in message.evacuations
             ),
+            cold_servers=tuple(
+                decode_cold_report(each) for each in message.coldServers
+            ),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -367,6 +380,7 @@
         ("leavings", len(message.leavings), MAX_LEAVINGS),
         ("limits", len(message.limits), MAX_LIMITS),
         ("evacuations", len(message.evacuations), MAX_EVACUATIONS),
+        ("cold servers", len(message.coldServers), MAX_COLD_SERVERS),
     ]
     if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -24,6 +24,7 @@
     LoadEvidence,
     predict_work_time_ratio,
 )
+from bilberryspring.process.cold_servers import make_cold_servers
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_leavings import (
     LeavingSource,
@@ -31,6 +32,7 @@
 )
 from bilberryspring.process.server_limits import make_server_limits
 from bilberryspring.process.server_pauses import ServerPause, make_server_pauses
+from bilberryspring.process.server_rates import make_server_rates
 from bilberryspring.process.zone_evacuations import make_zone_evacuations
 
 __all__ = [
@@ -431,6 +433,8 @@
     :ivar leavings: servers that left.
     :ivar limits: rates of requests that servers stated as their limit.
     :ivar evacuations: availability zones whose servers get nothing new.
+    :ivar cold: servers that have just started.
+    :ivar rates: lowest rate in force at each server.
     """
 
     def __init__(
@@ -448,6 +452,8 @@
             read_clock, self._count_servers_in_zone, self._find_zone_name
         )
         self.evacuations.change_callbacks.append(self._invalidate_index)
+        self.cold = make_cold_servers(read_clock, self._find_name)
+        self.rates = make_server_rates(self.limits, self.cold)
         self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
@@ -480,6 +486,8 @@
             record.epoch = epoch
         if self._is_superseded(server, epoch):
             return
+        is_new_start = record is None or _is_restarted(record.server, server)
+        self.cold.record_entry(server, is_from_router, is_new_start, epoch)
         if not server.is_ready:
             self.leavings.record(server, epoch)
         elif not self.leavings.is_bound(server, epoch, is_from_router):
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -90,7 +90,7 @@
         credits: CreditExchange | None = None,
     ):
         self._read_clock = read_clock
-        self._credits = credits or make_credit_exchange("", servers.limits)
+        self._credits = credits or make_credit_exchange("", servers.rates)
         self._credits.credit_callbacks.append(self._use_credit)
         self._limited_rates: defaultdict[PoolName, DecayingSum] = defaultdict(
             lambda: DecayingSum(LIMITED_RATE_TIME_S)
@@ -299,7 +299,7 @@
     def _ask_for_waiting(self, pool: PoolName) -> None:
         """Ask for credit for as many servers as requests wait."""
         now_s = asyncio.get_running_loop().time()
-        questions = len(self._waiting[pool]) if len(self._servers.limits) else 0
+        questions = len(self._waiting[pool]) if len(self._servers.rates) else 0
         for record in self._servers.list_ready(pool):
             if questions <= 0:
                 break
@@ -447,7 +447,7 @@
         service_s = self.get_mean_service_s(pool.name)
         unlimited, limited_per_s = [], 0.0
         for record in self._list_accepting(pool.name):
-            rate_per_s = self._servers.limits.find_rate_per_s(record.server)
+            rate_per_s = self._servers.rates.find_rate_per_s(record.server)
             if rate_per_s is None:
                 unlimited.append(record)
             else:
@@ -476,7 +476,7 @@
     def _count_usable_slots(self, record: ServerRecord, pool: PoolLimits) -> float:
         """Return how many slots of a server requests can occupy within its limit."""
         slots = pool.engine.slots if pool.engine else record.server.slots
-        rate_per_s = self._servers.limits.find_rate_per_s(record.server)
+        rate_per_s = self._servers.rates.find_rate_per_s(record.server)
         if rate_per_s is None:
             return slots
         return min(slots, rate_per_s * self.get_mean_service_s(pool.name))
--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -270,6 +270,7 @@
             slowness = record.compute_slowness(now_s)
             if pool.engine is None:
                 slowness *= record.predict_work_time_ratio(now_s)
+                slowness *= self._servers.cold.get_start_factor(record.server)
             start_s = self._predict_start_s(reservation, pool) * slowness
             start_s += decision.penalties_s[server_id]
             is_near = record.server.availability_zone == self._zone
@@ -287,14 +288,14 @@
         rates = {
             record.server.server_id: rate_per_s
             for record in self._servers.list_ready(pool.name)
-            if (rate_per_s := self._servers.limits.find_rate_per_s(record.server))
+            if (rate_per_s := self._servers.rates.find_rate_per_s(record.server))
         }
         named = heapq.nsmallest(MAX_NAMED_SERVERS, rates, key=rates.get)
         return ", ".join(f"{each} at {rates[each]:.2f}/s" for each in named)
 
     def _find_credit(self, ready: list[ServerRecord]) -> dict[str, CreditState]:
         """Return whether requests may be sent to servers that limit their rate."""
-        if not len(self._servers.limits):
+        if not len(self._servers.rates):
             return {}
         states = {
             record.server.server_id: self._credits.get_state(record.server)
