--- a/bilberryspring/request/placement_preview.py
+++ b/bilberryspring/request/placement_preview.py
@@ -175,6 +175,8 @@
     server = record.server
     view = view_server(record, servers)
     decided = decision.exclusions.get(server.server_id)
+    if decided is Exclusion.LIMITED and servers.cold.is_cold(server):
+        decided = Exclusion.COLD
     if decided is not None:
         beliefs = {decided: Belief(_OWN_SOURCE, 0.0), **view.beliefs}
         view = ServerView(server.server_id, beliefs)
