Keep requests in the regions that route and tenant allow

allowedRegions of routes and tenants were read nowhere. Servers of other regions are left out of placement, homes and copies; without these lists nothing is filtered.

--- a/bilberryspring/capability/routing.py
+++ b/bilberryspring/capability/routing.py
@@ -14,6 +14,7 @@
     InstanceId,
     ModelName,
     PoolName,
+    Region,
     RequestId,
     RouteName,
     WorkspaceName,
@@ -64,6 +65,8 @@
     :param rank_order: position of the work rank; zero is the most urgent.
     :param is_public: whether requests need no key.
     :param is_resumable: whether another backend server can resume a broken stream.
+    :param allowed_regions: regions whose servers may get its requests; ``None`` for
+        all.
     """
 
     name: RouteName
@@ -78,6 +81,7 @@
     rank_order: int
     is_public: bool
     is_resumable: bool
+    allowed_regions: frozenset[Region] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -144,10 +148,13 @@
     :param workspace: name of the workspace.
     :param rank_order: position of the work rank for requests with this key, which
         overrides that of the route; ``None`` to use that of the route.
+    :param allowed_regions: regions whose servers may get the workspace's requests;
+        ``None`` for all.
     """
 
     workspace: WorkspaceName
     rank_order: int | None
+    allowed_regions: frozenset[Region] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +234,8 @@
     :param started_at_ms: Unix time of its start in milliseconds; zero if unknown.
     :param report_number: number of the report that it wrote the entry with, counted
         since its start; zero if unknown. Servers that differ in it alone are equal.
+    :param region: region of its availability zone by this router's settings; ``None``
+        if they do not name the zone.
     """
 
     server_id: InstanceId
@@ -238,6 +247,7 @@
     is_ready: bool
     started_at_ms: int
     report_number: int = field(default=0, compare=False, repr=False)
+    region: Region | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -298,6 +308,8 @@
         ``None`` for none.
     :param tried_server_ids: ids of the servers that the request was already sent to.
     :param attempts: number of attempts to send the request.
+    :param workspace_regions: regions whose servers may get the workspace's requests;
+        ``None`` for all. Those of the route bind as well.
     """
 
     request_id: RequestId
@@ -315,3 +327,22 @@
     fetch_from: BackendServer | None = None
     tried_server_ids: set[InstanceId] = field(default_factory=set)
     attempts: int = 0
+    workspace_regions: frozenset[Region] | None = None
+
+    def allows_region(self, region: Region | None) -> bool:
+        """Return whether servers of a region may get the request.
+
+        :param region: the region; ``None``, for one that is not known, is allowed only
+            where all are.
+        """
+        return all(
+            allowed is None or region in allowed
+            for allowed in (self.route.allowed_regions, self.workspace_regions)
+        )
+
+    @property
+    def is_bound_to_regions(self) -> bool:
+        """Whether only servers of some regions may get the request."""
+        return self.route.allowed_regions is not None or (
+            self.workspace_regions is not None
+        )
--- a/bilberryspring/platform/caller_requests.py
+++ b/bilberryspring/platform/caller_requests.py
@@ -159,13 +159,14 @@
     route = find_route(table, host, target.partition("?")[0])
     if route is None:
         return make_failure(ErrorKind.UNKNOWN_ROUTE)
-    workspace, rank_order = None, route.rank_order
+    workspace, rank_order, workspace_regions = None, route.rank_order, None
     if table.keys is not None and not route.is_public:
         bearer_key = _parse_bearer_key(header_values.get(wire.AUTHORIZATION, b""))
         workspace_key = table.keys.get(bearer_key)
         if workspace_key is None:
             return make_failure(ErrorKind.UNAUTHENTICATED)
         workspace = workspace_key.workspace
+        workspace_regions = workspace_key.allowed_regions
         if workspace_key.rank_order is not None:
             rank_order = workspace_key.rank_order
     if not request_id:
@@ -189,6 +190,7 @@
         received_s=request.received_s,
         deadline_s=request.received_s + deadline_ms / 1000,
         prompt=prompt,
+        workspace_regions=workspace_regions,
     )
 
 
--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -19,6 +19,7 @@
     AvailabilityZone,
     InstanceId,
     PoolName,
+    Region,
     RouteName,
     WorkspaceName,
 )
@@ -106,9 +107,22 @@
         rank_order=_read_rank(route),
         is_public=_read_flag(route, "public"),
         is_resumable=_read_flag(route, "resumable"),
+        allowed_regions=_read_regions(route),
     )
 
 
+def _read_regions(document: Mapping) -> frozenset[Region] | None:
+    """Return the regions that a document allows, ``None`` if it names none."""
+    names = document.get("allowedRegions")
+    if names is None:
+        return None
+    if not isinstance(names, list) or not all(
+        isinstance(name, str) and name for name in names
+    ):
+        raise ValueError("allowedRegions is not a list of names")
+    return frozenset(Region(name) for name in names) or None
+
+
 def _read_rank(document: Mapping) -> int:
     priority = _read_integer(document, "priority", LEAST_URGENT_RANK, -MAX_INTEGER)
     return min(max(priority, 0), LEAST_URGENT_RANK)
@@ -136,10 +150,11 @@
     for tenant in _require_list(document, "tenants"):
         rank = None if tenant.get("priority") is None else _read_rank(tenant)
         workspace = WorkspaceName(_require_string(tenant, "name"))
+        regions = _read_regions(tenant)
         for key in _require_list(tenant, "apiKeys") if "apiKeys" in tenant else ():
             if not isinstance(key, str):
                 raise ValueError("a key is not a string")
-            keys[key] = WorkspaceKey(workspace, rank)
+            keys[key] = WorkspaceKey(workspace, rank, regions)
     return keys
 
 
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -97,6 +97,7 @@
         self._caller_connections: set[CallerConnection] = set()
         self._request_memory = make_memory_bound(MAX_REQUESTS_BYTES)
         self._servers = make_server_table()
+        self._servers.regions = settings.regions
         self._store = make_metadata_store(settings.store_address)
         self._server_calls = make_server_calls()
         self._credits = make_credit_exchange(
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from bilberryspring.identifiers import AvailabilityZone, Region
 from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
@@ -41,6 +42,7 @@
     :param retry_extra: retries allowed in a window beyond that ratio, over all routers.
     :param retry_window_s: length in seconds of the window that the retry limits cover.
     :param load_factor: maximum load of a server, as a multiple of the mean load.
+    :param regions: region of each availability zone.
     """
 
     instance_id: str
@@ -59,6 +61,7 @@
     retry_extra: float
     retry_window_s: float
     load_factor: float
+    regions: Mapping[AvailabilityZone, Region]
 
 
 class _SettingsReader:
@@ -132,6 +135,15 @@
     return tuple(split_address(_check_nonempty_text(seed))[0] for seed in value)
 
 
+def _check_regions(value: Any) -> Mapping[AvailabilityZone, Region]:
+    if not isinstance(value, dict):
+        raise ValueError("must be a table of zones and their regions")
+    return {
+        AvailabilityZone(zone): Region(_check_nonempty_text(region))
+        for zone, region in value.items()
+    }
+
+
 def load_machine_settings(path: str | None = None) -> MachineSettings | Failure:
     """Read and check the settings file; unknown fields are ignored.
 
@@ -167,6 +179,7 @@
         "retry_extra": read("bounds.budgetExtra", _check_not_negative, 0.0),
         "retry_window_s": read("bounds.budgetWindowS", _check_positive, 10.0),
         "load_factor": read("bounds.capFactor", _check_positive, 2.0),
+        "regions": read("zones", _check_regions, {}),
     }
     if reader.errors:
         reason = f"{path}: {'; '.join(reader.errors)}"
--- a/bilberryspring/platform/tests/test_document_decoders.py
+++ b/bilberryspring/platform/tests/test_document_decoders.py
@@ -50,6 +50,31 @@
     assert (table.version, table.position.revision) == (3, 9)
 
 
+def decode_with_regions(of_route, of_tenant):
+    route = {**CONFIGURATION["routes"][0], "allowedRegions": of_route}
+    tenant = {**CONFIGURATION["tenants"][0], "allowedRegions": of_tenant}
+    document = {**CONFIGURATION, "routes": [route], "tenants": [tenant]}
+    return decode_routing_table(
+        json.dumps(document).encode(), StorePosition(StoreEpoch(1), 9)
+    )
+
+
+def test_allowed_regions_of_routes_and_workspaces_are_decoded():
+    table = decode_with_regions(["north", "south"], ["south"])
+    route = find_route(table, "a.example", "/orders/x")
+    assert route.allowed_regions == {"north", "south"}
+    assert table.keys["k1"].allowed_regions == {"south"}
+    table = decode_with_regions([], None)
+    assert find_route(table, "a.example", "/orders/x").allowed_regions is None
+    assert table.keys["k1"].allowed_regions is None
+
+
+@pytest.mark.parametrize("names", ["north", [""], [7], {"north": 1}, True, [None]])
+def test_malformed_regions_are_a_failure(names):
+    assert isinstance(decode_with_regions(names, None), Failure)
+    assert isinstance(decode_with_regions(None, names), Failure)
+
+
 def test_engine_of_a_pool_is_decoded():
     engine = {"slots": 64, "kvTokens": 1000, "stride": 9, "moves": True}
     document = {**CONFIGURATION, "services": [{"name": "e", "engine": engine}]}
--- a/bilberryspring/platform/tests/test_settings_file.py
+++ b/bilberryspring/platform/tests/test_settings_file.py
@@ -34,6 +34,14 @@
     assert settings.retry_ratio == 0.2
 
 
+def test_regions_of_zones_are_optional(tmp_path):
+    assert load_text(tmp_path, SETTINGS_TEXT).regions == {}
+    settings = load_text(tmp_path, SETTINGS_TEXT + '[zones]\na = "north"\n')
+    assert settings.regions == {"a": "north"}
+    failure = load_text(tmp_path, SETTINGS_TEXT + "[zones]\na = 7\n")
+    assert isinstance(failure, Failure) and "zones" in failure.reason
+
+
 def test_failure_names_every_invalid_field(tmp_path):
     text = SETTINGS_TEXT.replace('zone = "a"\n', "").replace(
         "drainMs = 2500", "drainMs = -1"
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 import xxhash
@@ -15,6 +15,7 @@
     AvailabilityZone,
     InstanceId,
     PoolName,
+    Region,
     StoreEpoch,
 )
 from bilberryspring.policy.load_estimate import (
@@ -430,6 +431,7 @@
     :param read_clock: monotonic clock, in seconds.
     :ivar leavings: servers that left.
     :ivar limits: rates of requests that servers stated as their limit.
+    :ivar regions: region of each availability zone.
     :ivar evacuations: availability zones whose servers get nothing new.
     """
 
@@ -448,6 +450,7 @@
             read_clock, self._count_servers_in_zone, self._find_zone_name
         )
         self.evacuations.change_callbacks.append(self._invalidate_index)
+        self.regions: Mapping[AvailabilityZone, Region] = {}
         self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
@@ -470,6 +473,8 @@
         :param epoch: history of the store in which it is listed; ``None`` if unknown.
         :param is_from_router: whether another router sent the list.
         """
+        if self.regions:
+            server = replace(server, region=self.regions.get(server.availability_zone))
         listed = self._listed.get(server.server_id)
         if listed is None or listed.server != server:
             self._is_index_current = False
--- a/bilberryspring/process/zone_evacuations.py
+++ b/bilberryspring/process/zone_evacuations.py
@@ -487,19 +487,22 @@
         lasted_s = {}
         if held is not None and held.is_in_force:
             lasted_s = {"lasted_s": round(evacuation.learnt_s - held.learnt_s, 3)}
-        log_event(
-            "zone_evacuated" if evacuation.is_in_force else "zone_returned",
-            level="INFO" if servers else "WARNING",
-            zone=ascii(shown)[1:-1][:MAX_LOGGED_CHARACTERS],
-            servers=servers,
-            source=evacuation.source,
-            age_s=round(now_s - evacuation.learnt_s, 3),
-            reason=reason,
-            reported_by=evacuation.reported_by,
-            epoch=evacuation.position.epoch,
-            revision=evacuation.position.revision,
+        level = "INFO" if servers else "WARNING"
+        fields = {
+            "zone": ascii(shown)[1:-1][:MAX_LOGGED_CHARACTERS],
+            "servers": servers,
+            "source": evacuation.source,
+            "age_s": round(now_s - evacuation.learnt_s, 3),
+            "reason": reason,
+            "reported_by": evacuation.reported_by,
+            "epoch": evacuation.position.epoch,
+            "revision": evacuation.position.revision,
             **lasted_s,
-        )
+        }
+        if evacuation.is_in_force:
+            log_event("zone_evacuated", level=level, **fields)
+        else:
+            log_event("zone_returned", level=level, **fields)
 
     def _announce(self, is_change: bool, is_late: bool = False) -> None:
         if is_change:
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -55,7 +55,10 @@
     predict_engine_start_s,
     rank_home_engines,
 )
-from bilberryspring.request.server_exclusions import make_no_server_refusal
+from bilberryspring.request.server_exclusions import (
+    list_allowed,
+    make_no_server_refusal,
+)
 
 __all__ = ["Dispatcher", "make_dispatcher"]
 
@@ -555,12 +558,13 @@
         """
         now_s = asyncio.get_running_loop().time()
         ready = self._servers.list_ready(pool.name)
+        allowed = list_allowed(ready, request)
         untried = [
-            r for r in ready if r.server.server_id not in request.tried_server_ids
+            r for r in allowed if r.server.server_id not in request.tried_server_ids
         ]
         if not untried:
             return make_no_server_refusal(
-                self._servers, pool.name, NO_SERVER_RETRY_AFTER_S
+                self._servers, pool.name, request, NO_SERVER_RETRY_AFTER_S
             )
         accepting = [r for r in untried if not r.pause.is_active(now_s)]
         if not accepting:
@@ -574,7 +578,8 @@
             )
         healthy = [r for r in sendable if not r.is_avoided(now_s)]
         records = healthy or sendable
-        homes = rank_home_engines(request.prompt, self._servers.list_all(pool.name))
+        listed = list_allowed(self._servers.list_all(pool.name), request)
+        homes = rank_home_engines(request.prompt, listed)
         usable_homes = [
             home
             for home in homes
@@ -796,7 +801,7 @@
     ) -> Reservation:
         if request.prompt is None or pool.engine is None:
             return Reservation(record, 0, 0, self.get_mean_service_s(pool.name))
-        others = self._servers.list_ready(pool.name)
+        others = list_allowed(self._servers.list_ready(pool.name), request)
         return plan_reservation(
             record, request.prompt, pool.engine, homes, others, now_s
         )
