--- a/bilberryspring/request/tests/test_evacuated_zones.py
+++ b/bilberryspring/request/tests/test_evacuated_zones.py
@@ -67,7 +67,8 @@
             self.change(zone, True)
 
     async def acquire(self, pool=SERVICE_POOL, **options):
-        request = make_request(make_route(), **options)
+        request = make_request(make_route(target_s=2.0), **options)
+        request.received_s = read_boot_time_s()
         return await self.dispatcher.acquire(request, pool, read_boot_time_s() + 2)
 
 
@@ -163,10 +164,13 @@
         if third not in (first, second):
             break
     zones.evacuate(first, second)
+    began_s = read_boot_time_s()
     for number in range(8):
         place = await zones.acquire(ENGINE_POOL, prompt=prompt, request_id=f"q{number}")
         assert place.record is ranked[2]
         zones.dispatcher.release(place)
+    # No request waits for room at its evacuated homes.
+    assert read_boot_time_s() - began_s < 0.1
 
 
 async def test_nothing_is_fetched_from_an_evacuated_zone():
