--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -411,6 +411,8 @@
         )
         self._dispatcher.set_load_factor(settings.load_factor)
         self._server_watcher.set_drain_grace(settings.leaving_s)
+        # Servers get their region with their next entry.
+        self._servers.regions = settings.regions
         log_event(
             "reloaded",
             retry_ratio=settings.retry_ratio,
