--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -102,6 +102,7 @@
         self._request_memory = make_memory_bound(MAX_REQUESTS_BYTES)
         self._servers = make_server_table()
         self._servers.cold.set_bound(settings.cold_overage, settings.cold_slack)
+        self._servers.regions = settings.regions
         self._store = make_metadata_store(settings.store_address)
         self._server_calls = make_server_calls()
         self._credits = make_credit_exchange(
@@ -429,6 +430,8 @@
         self._dispatcher.set_load_factor(settings.load_factor)
         self._server_watcher.set_drain_grace(settings.leaving_s)
         self._servers.cold.set_bound(settings.cold_overage, settings.cold_slack)
+        # Servers get their region with their next entry.
+        self._servers.regions = settings.regions
         log_event(
             "reloaded",
             retry_ratio=settings.retry_ratio,
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from bilberryspring.identifiers import AvailabilityZone, Region
 from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
@@ -44,6 +45,7 @@
     :param cold_overage: requests that may reach a cold server in any second, as a
         multiple of its rate.
     :param cold_slack: requests that may reach it beyond that.
+    :param regions: region of each availability zone.
     """
 
     instance_id: str
@@ -64,6 +66,7 @@
     load_factor: float
     cold_overage: float
     cold_slack: float
+    regions: Mapping[AvailabilityZone, Region]
 
 
 class _SettingsReader:
@@ -137,6 +140,15 @@
     return tuple(split_address(_check_nonempty_text(seed))[0] for seed in value)
 
 
+def _check_regions(value: Any) -> Mapping[AvailabilityZone, Region]:
+    if not isinstance(value, dict):
+        raise ValueError("must be a table of zones and their regions")
+    return {
+        AvailabilityZone(zone): Region(_check_nonempty_text(region))
+        for zone, region in value.items()
+    }
+
+
 def load_machine_settings(path: str | None = None) -> MachineSettings | Failure:
     """Read and check the settings file; unknown fields are ignored.
 
@@ -174,6 +186,7 @@
         "load_factor": read("bounds.capFactor", _check_positive, 2.0),
         "cold_overage": read("bounds.coldOverage", _check_positive, 1.0),
         "cold_slack": read("bounds.coldSlack", _check_not_negative, 0.0),
+        "regions": read("zones", _check_regions, {}),
     }
     if reader.errors:
         reason = f"{path}: {'; '.join(reader.errors)}"
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 import xxhash
@@ -15,6 +15,7 @@
     AvailabilityZone,
     InstanceId,
     PoolName,
+    Region,
     StoreEpoch,
 )
 from bilberryspring.policy.load_estimate import (
@@ -432,6 +433,7 @@
     :param read_clock: monotonic clock, in seconds.
     :ivar leavings: servers that left.
     :ivar limits: rates of requests that servers stated as their limit.
+    :ivar regions: region of each availability zone.
     :ivar evacuations: availability zones whose servers get nothing new.
     :ivar cold: servers that have just started.
     :ivar rates: lowest rate in force at each server.
@@ -454,6 +456,7 @@
         self.evacuations.change_callbacks.append(self._invalidate_index)
         self.cold = make_cold_servers(read_clock, self._find_name)
         self.rates = make_server_rates(self.limits, self.cold)
+        self.regions: Mapping[AvailabilityZone, Region] = {}
         self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
@@ -476,6 +479,8 @@
         :param epoch: history of the store in which it is listed; ``None`` if unknown.
         :param is_from_router: whether another router sent the list.
         """
+        if self.regions:
+            server = replace(server, region=self.regions.get(server.availability_zone))
         listed = self._listed.get(server.server_id)
         if listed is None or listed.server != server:
             self._is_index_current = False
--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -35,7 +35,10 @@
     predict_engine_start_s,
     rank_home_engines,
 )
-from bilberryspring.request.server_exclusions import make_no_server_refusal
+from bilberryspring.request.server_exclusions import (
+    list_allowed,
+    make_no_server_refusal,
+)
 
 __all__ = [
     "INITIAL_SERVICE_TIME_S",
@@ -156,14 +159,17 @@
         """
         ready = self._servers.list_ready(pool.name)
         decision = PlacementDecision(ready=ready)
+        allowed = list_allowed(ready, request)
+        if len(allowed) < len(ready):
+            _exclude(decision, ready, allowed, Exclusion.REGION)
         untried = [
-            r for r in ready if r.server.server_id not in request.tried_server_ids
+            r for r in allowed if r.server.server_id not in request.tried_server_ids
         ]
-        if len(untried) < len(ready):
-            _exclude(decision, ready, untried, Exclusion.TRIED)
+        if len(untried) < len(allowed):
+            _exclude(decision, allowed, untried, Exclusion.TRIED)
         if not untried:
             decision.failure = make_no_server_refusal(
-                self._servers, pool.name, NO_SERVER_RETRY_AFTER_S
+                self._servers, pool.name, request, NO_SERVER_RETRY_AFTER_S
             )
             return decision
         accepting = [r for r in untried if not r.pause.is_active(now_s)]
@@ -186,7 +192,8 @@
         records = healthy or sendable
         if len(records) < len(sendable):
             _exclude(decision, sendable, records, Exclusion.SUSPECTED)
-        homes = rank_home_engines(request.prompt, self._servers.list_all(pool.name))
+        listed = list_allowed(self._servers.list_all(pool.name), request)
+        homes = rank_home_engines(request.prompt, listed)
         usable_homes = [
             home
             for home in homes
@@ -445,7 +452,7 @@
     ) -> Reservation:
         if request.prompt is None or pool.engine is None:
             return Reservation(record, 0, 0, self.get_mean_service_s(pool.name))
-        others = self._servers.list_ready(pool.name)
+        others = list_allowed(self._servers.list_ready(pool.name), request)
         return plan_reservation(
             record, request.prompt, pool.engine, homes, others, now_s
         )
