Release the votes on a cold server's credit when its keeper comes back

The next keeper was no longer asked by anyone then, and so kept its votes until they ended: no credit for 0.9 s. Found by the test of that gap.

--- a/bilberryspring/process/credit_exchange.py
+++ b/bilberryspring/process/credit_exchange.py
@@ -350,6 +350,11 @@
     def _answer(self, question: CreditMessage, ip: str) -> CreditMessage:
         """Give credit, or say when another question may be granted."""
         key = question.server, question.started_at_ms
+        if question.has_vote and self._votes.has_ballot(key):
+            ranked = self._rank_routers(key)
+            if ip in ranked[: ranked.index(self._ip)]:
+                # It is back, and the others ask only that one.
+                self._release_votes(key)
         granted, retry_s = 0, 0.0
         reports: tuple[LimitReport | None, ColdReport | None] = None, None
         if question.credits:
--- a/bilberryspring/process/keeper_votes.py
+++ b/bilberryspring/process/keeper_votes.py
@@ -74,6 +74,13 @@
         """Return the routers that there are or lately were, with this one."""
         return [*{**self._known_s, self._ip: 0.0}]
 
+    def has_ballot(self, key: ServerKey) -> bool:
+        """Return whether this router asked for votes lately.
+
+        :param key: hash and start of the server.
+        """
+        return key in self._ballots
+
     def is_round_due(self, key: ServerKey) -> bool:
         """Return whether the voters have to be asked again.
 
--- a/bilberryspring/process/tests/test_keeper_votes.py
+++ b/bilberryspring/process/tests/test_keeper_votes.py
@@ -121,3 +121,30 @@
     assert not voter.vote_for(KEY, "b")
     clock.now_s += keeper_votes.VOTE_BINDS_S - keeper_votes.VOTE_LIFETIME_S
     assert voter.vote_for(KEY, "b") and not voter.vote_for(KEY, "a")
+
+
+def test_credit_goes_on_when_the_keeper_comes_back():
+    async def check():
+        fleet, loop = SplitFleet(9), asyncio.get_running_loop()
+        await asyncio.sleep(START_DELAY_S)
+        fleet.turn_cold()
+        keeper, *others = fleet.rank()
+
+        def start():
+            fleet.start(keeper)
+            fleet.turn_cold()
+
+        loop.call_later(1.0, fleet.exchanges.pop, keeper)
+        loop.call_later(3.0, start)
+        sent_s = await fleet.send_for(7.0, others)
+        assert find_most(sent_s) <= BOUND
+        # The others give credit until it knows the fleet, and it gives credit then.
+        back_s = 2 * START_DELAY_S + 3.0
+        gaps_s = [
+            later - earlier
+            for earlier, later in zip(sent_s, sent_s[1:], strict=False)
+            if later > back_s - START_DELAY_S
+        ]
+        assert max(gaps_s) <= 0.6
+
+    run(check)
