--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -32,6 +32,7 @@
 budgetExtra = 50
 [platform]
 address = "{store}"
+{limits}
 """
 
 
@@ -50,7 +51,16 @@
 class Router:
     """One router process."""
 
-    def __init__(self, tmp_path, store, ip="127.0.0.1", ports=(), seeds=(), grace_s=8):
+    def __init__(
+        self,
+        tmp_path,
+        store,
+        ip="127.0.0.1",
+        ports=(),
+        seeds=(),
+        grace_s=8,
+        limits="",
+    ):
         ports = ports or (find_free_port(), find_free_port(), find_free_port())
         self.ip = ip
         self.port, self.ready_port, self.peer_port = ports
@@ -60,6 +70,7 @@
             SETTINGS_TEMPLATE.format(
                 node=f"front-{ip}",
                 grace_s=grace_s,
+                limits=limits,
                 ip=ip,
                 peer_port=self.peer_port,
                 port=self.port,
--- a/bilberryspring/request/tests/test_backends.py
+++ b/bilberryspring/request/tests/test_backends.py
@@ -15,6 +15,7 @@
 from aiohttp.test_utils import TestServer
 
 from bilberryspring.connection.messages import Open
+from bilberryspring.connection.tests.early_answers import ENDINGS, make_early_answer
 from bilberryspring.connection.tests.stream_server import serve_streams
 from bilberryspring.identifiers import ConfigVersion, RequestId, WorkspaceName
 from bilberryspring.request import buffered_response
@@ -331,6 +332,35 @@
         assert result.outcome is Outcome.UNKNOWN
 
 
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize(("ending", "size_bytes"), ENDINGS)
+async def test_early_answer_that_is_reset_is_never_complete(
+    is_idempotent, size_bytes, ending
+):
+    async with serve_streams(make_early_answer(ending)) as port:
+        result, _ = await call(
+            f"127.0.0.1:{port}",
+            PoolKind.SERVICE,
+            body=b"x" * size_bytes,
+            idempotent=is_idempotent,
+        )
+    assert result.kind in (ErrorKind.BACKEND_FAILED, ErrorKind.BACKEND_CRASHED)
+    assert result.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("kind", list(PoolKind))
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+async def test_status_that_is_none_is_the_backends_failure(kind, status):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nhi" % status)
+
+    async with serve_streams(respond) as port:
+        result, _ = await call(f"127.0.0.1:{port}", kind)
+    assert result.kind is ErrorKind.BACKEND_FAILED
+    assert result.outcome is Outcome.UNKNOWN
+
+
 @pytest.mark.parametrize("size", [1.0, 0.6, 0.2])
 async def test_late_copy_on_an_idle_connection_does_not_answer_the_next_call(size):
     response = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}"
