Bound what callers hold in sockets and memory, over all of them

Cause: each request had limits, but the number of connections, heads of many short fields, requests sent ahead, fields without end, unread responses and what the kernel holds of paused connections counted towards nothing. The readiness listener shared what callers may take.

Change: `policy/caller_room.py` derives the limits from `limits.memoryMb` and `limits.maxFds` (agents' fleet: `memory_mb`, `max_descriptors`) and chooses which connections are ended first; `process/caller_room.py` counts them; `MemoryBound` weighs messages without progress. Both programs use them (`connection/http_caller.py`, `connection/sanic_callers.py`). Readiness checks have room and memory of their own. A response that is read whole gives the server's capacity back before it is written to a slow caller. A response without a body is waited for like any other.

Tests changed: `CallerServer` of test_http_caller passes room instead of a set.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -108,10 +108,17 @@
 
     :param memory: bound on the memory of all responses; ``None`` for no bound.
     :param sender: name of the server.
+    :param connections: open connections, to which this one adds itself.
     """
 
-    def __init__(self, memory: MemoryBound | None = None, sender: str = "") -> None:
+    def __init__(
+        self,
+        memory: MemoryBound | None = None,
+        sender: str = "",
+        connections: set["BackendConnection"] | None = None,
+    ) -> None:
         super().__init__()
+        self._connections = set() if connections is None else connections
         self._parser = httptools.HttpResponseParser(self)
         self._holder = (
             None if memory is None else memory.make_holder(sender, self._give_up)
@@ -142,6 +149,11 @@
 
     # Callbacks of the asyncio transport.
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Add this connection to the open ones."""
+        super().connection_made(transport)
+        self._connections.add(self)
+
     def data_received(self, data: bytes) -> None:
         """Receive bytes, unless no response is outstanding."""
         self._has_response_started = True
@@ -205,6 +217,7 @@
         kind = (
             ConnectionFailureKind.CLOSED if exc is None else ConnectionFailureKind.RESET
         )
+        self._connections.discard(self)
         self.parse_rest()
         self._fail(kind, "closed by the server" if exc is None else str(exc))
 
@@ -444,6 +457,7 @@
     timeout_s: float,
     memory: MemoryBound | None = None,
     sender: str = "",
+    connections: set[BackendConnection] | None = None,
 ) -> BackendConnection | ConnectionFailure:
     """Connect to a backend server.
 
@@ -452,13 +466,14 @@
     :param timeout_s: timeout in seconds for establishing the connection.
     :param memory: bound on the memory of all responses; ``None`` for no bound.
     :param sender: name of the server.
+    :param connections: open connections, to which this one is added.
     :returns: the connection, or an ``UNREACHABLE`` failure.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: BackendConnection(memory, sender), host, port
+                lambda: BackendConnection(memory, sender, connections), host, port
             )
     except TimeoutError:
         reason = f"connecting timed out after {timeout_s:.2f} s"
--- a/bilberryspring/connection/http_caller.py
+++ b/bilberryspring/connection/http_caller.py
@@ -12,7 +12,13 @@
 
 from bilberryspring.connection.caller_policy import CallerPolicy
 from bilberryspring.connection.collected_bytes import CollectedBytes
-from bilberryspring.connection.input_turns import TurnProtocol
+from bilberryspring.connection.input_turns import (
+    RECEIVE_BUFFER_BYTES,
+    SLICE_BYTES,
+    TurnProtocol,
+)
+from bilberryspring.policy.caller_room import CallerState, CallerView
+from bilberryspring.process.caller_room import CallerRoom
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.memory_bound import MemoryBound, MessageKind
@@ -25,6 +31,7 @@
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 # Each header takes much more memory than its bytes.
 MAX_HEADERS = 512
+HEADER_OVERHEAD_BYTES = 160
 # Requests of less than this are not counted towards the bound on memory.
 MIN_COUNTED_BYTES = 8 * 1024
 # Reading pauses while more requests than this are queued.
@@ -51,6 +58,7 @@
     :param error_status: HTTP status with which to reject a request that could not be
         read; zero for a complete request.
     :param closes_connection: whether the connection closes after the response.
+    :param held_bytes: memory of the request.
     """
 
     method: str
@@ -60,6 +68,7 @@
     received_s: float
     error_status: int = 0
     closes_connection: bool = False
+    held_bytes: int = 0
 
 
 Handler = Callable[[HttpRequest, "CallerConnection"], Awaitable[None]]
@@ -70,29 +79,37 @@
 
     :param handle: coroutine function that writes the response to one request.
     :param policy: limits and shutdown state, read again for each request.
-    :param connections: open connections of the process; this one adds and removes
-        itself.
-    :param memory: bound on the memory of all requests; ``None`` for no bound.
+    :param room: open connections of the process; this one adds and removes itself.
+    :param memory: bound on the memory of all requests, and of responses that callers
+        do not read; ``None`` for no bound.
     """
 
     def __init__(
         self,
         handle: Handler,
         policy: CallerPolicy,
-        connections: set["CallerConnection"],
+        room: CallerRoom,
         memory: MemoryBound | None = None,
     ):
         super().__init__()
         self._handle = handle
         self._policy = policy
-        self._connections = connections
+        self._room = room
         self._parser = httptools.HttpRequestParser(self)
-        self._upload_holder = self._request_holder = None
+        self._upload_holder = self._queue_holder = None
+        self._request_holder = self._response_holder = None
         if memory is not None:
-            self._upload_holder = memory.make_holder("", self._give_up_upload)
-            self._request_holder = memory.make_holder("", lambda: None)
+            name = str(id(self))
+            self._upload_holder = memory.make_holder(name, self._give_up_upload)
+            self._queue_holder = memory.make_holder(name, self._give_up_queue)
+            self._request_holder = memory.make_holder(name, lambda: None)
             self._request_holder.kind = MessageKind.ACCEPTED
+            self._response_holder = memory.make_holder(name, self._abort)
+            self._response_holder.kind = MessageKind.UNREAD
         self._handled_bytes = 0
+        self._fruitless_bytes = 0
+        self._is_advanced = False
+        self._content_length: int | None = None
         self._requests: list[HttpRequest] = []
         self._request_available = asyncio.Event()
         self._write_ready = asyncio.Event()
@@ -109,13 +126,17 @@
         self._caller = ""
         self._opened_s = 0.0
         self._wait_started_s = 0.0
+        self._unread_since_s = 0.0
+        self._is_discarding = False
+        self._has_sent_many_ahead = False
         self._has_received = False
         self._reset_message()
 
     def _reset_message(self) -> None:
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._header_bytes = 0
+        self._header_bytes = self._head_memory_bytes = 0
+        self._content_length = None
         self._body = CollectedBytes()
         self._receive_started_s = 0.0
         self._has_head = False
@@ -131,19 +152,24 @@
         self._caller = f"{peer[0]}:{peer[1]}" if peer else ""
         self._opened_s = asyncio.get_running_loop().time()
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        self._connections.add(self)
+        if not self._room.admit(self):
+            self._is_disconnected = True
+            transport.abort()
+            return
         self._task = asyncio.get_running_loop().create_task(self._serve())
         self._restart_timer()
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes, unless the connection's input was rejected."""
         self._has_received = True
-        if self._is_input_rejected:
+        if self._is_input_rejected or self._is_disconnected:
             return
         if not self._receive_started_s:
             self._receive_started_s = read_boot_time_s()
             self._restart_timer()
         super().data_received(data)
+        if self._unparsed:
+            self._update_held_bytes()
 
     def parse(self, data: bytes) -> None:
         """Feed received bytes to the parser, and reject malformed input.
@@ -152,19 +178,37 @@
         """
         if self._is_input_rejected or self._is_disconnected:
             return
+        self._is_advanced = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject_input(400)
         except httptools.HttpParserError:
             self._reject_input(self._error_status or 400)
+        self._bound_fruitless_bytes(len(data))
         self._update_held_bytes()
 
+    def _bound_fruitless_bytes(self, size_bytes: int) -> None:
+        """Reject a field or a chunk size without end, which the parser collects."""
+        if self._is_advanced:
+            self._fruitless_bytes = 0
+            return
+        self._fruitless_bytes += size_bytes
+        limit_bytes = self._policy.limits.max_header_bytes + SLICE_BYTES
+        if self._fruitless_bytes > limit_bytes and not self._is_input_rejected:
+            self._reject_input(400 if self._has_head else 431)
+            # The parser keeps what it has collected.
+            self._parser = None
+            self._fruitless_bytes = 0
+
     def may_read(self) -> bool:
         """Return whether few enough requests are queued."""
         if self._is_reading_paused:
             return not self._requests
-        return len(self._requests) <= MAX_PIPELINED_REQUESTS
+        if len(self._requests) <= MAX_PIPELINED_REQUESTS:
+            return True
+        self._has_sent_many_ahead = True
+        return False
 
     def eof_received(self) -> bool:
         """Return False, so that the transport closes this side too.
@@ -189,8 +233,9 @@
         self._unparsed.clear()
         self._body.clear()
         self._update_held_bytes()
+        self._release_response()
         self._write_ready.set()
-        self._connections.discard(self)
+        self._room.remove(self)
         if self._timer is not None:
             self._timer.cancel()
         if self._task is not None:
@@ -199,16 +244,48 @@
     def pause_writing(self) -> None:
         """Mark the write buffer as full."""
         self._write_ready.clear()
+        self._unread_since_s = asyncio.get_running_loop().time()
 
     def resume_writing(self) -> None:
         """Mark the write buffer as drained."""
+        self._release_response()
         self._write_ready.set()
 
+    # Interface for the room that callers share.
+
+    def view(self) -> CallerView:
+        """Return what the connection waits for."""
+        now_s = asyncio.get_running_loop().time()
+        if self._is_discarding:
+            return CallerView(CallerState.REFUSED, now_s - self._wait_started_s)
+        if not self._write_ready.is_set():
+            return CallerView(CallerState.UNREAD, now_s - self._unread_since_s)
+        if self._has_sent_many_ahead:
+            return CallerView(CallerState.AHEAD, now_s - self._opened_s)
+        if self._is_handling or self._requests:
+            return CallerView(CallerState.WORKING, 0.0)
+        if self._receive_started_s:
+            waited_s = read_boot_time_s() - self._receive_started_s
+            return CallerView(CallerState.RECEIVING, waited_s)
+        if not self._has_received:
+            return CallerView(CallerState.UNUSED, now_s - self._opened_s)
+        return CallerView(CallerState.IDLE, now_s - self._wait_started_s)
+
+    def end(self) -> None:
+        """Close the connection for want of room."""
+        self._must_close = True
+        self._abort()
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
     # Callbacks of the HTTP parser.
 
     def on_message_begin(self) -> None:
         """Reset the state for the next request."""
         self._reset_message()
+        self._is_advanced = True
         self.parse_time_s = 0.0
         self._receive_started_s = read_boot_time_s()
 
@@ -222,6 +299,7 @@
 
         :raises ValueError: if there are too many, or too many bytes of them.
         """
+        self._is_advanced = True
         if len(self._headers) >= MAX_HEADERS:
             self._error_status = 431
             raise ValueError(f"over {MAX_HEADERS} headers")
@@ -230,6 +308,7 @@
 
     def _add_header_bytes(self, size_bytes: int) -> None:
         self._header_bytes += size_bytes
+        self._head_memory_bytes += size_bytes + HEADER_OVERHEAD_BYTES
         if self._header_bytes > self._policy.limits.max_header_bytes:
             self._error_status = 431
             raise ValueError("the request line and headers are too large")
@@ -249,6 +328,7 @@
         if transfer_codings and transfer_codings[0].strip().lower() != b"chunked":
             raise ValueError("the transfer coding of the body is not supported")
         for length in content_lengths:
+            self._content_length = int(length)
             if int(length) > self._policy.limits.max_body_bytes:
                 self._error_status = 413
                 raise ValueError("the body is too large")
@@ -261,6 +341,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, and check the size limit."""
+        self._is_advanced = True
         self._body.append(body)
         if len(self._body) > self._policy.limits.max_body_bytes:
             self._error_status = 413
@@ -275,6 +356,7 @@
             body=self._body.join(),
             received_s=self._receive_started_s,
             closes_connection=not self._parser.should_keep_alive(),
+            held_bytes=len(self._body) + self._head_memory_bytes,
         )
         self._reset_message()
         if self._timer is not None:
@@ -292,20 +374,45 @@
         self._reject_input(503)
         self._unparsed.clear()
         self._body.clear()
+        self._headers = []
+        self._head_memory_bytes = self._fruitless_bytes = 0
+
+    def _give_up_queue(self) -> None:
+        """Refuse the requests that were sent ahead, for want of memory."""
+        if self._is_disconnected:
+            return
+        self._requests.clear()
+        if self._is_input_rejected:
+            self._enqueue(_make_rejected_request(503))
+        self._give_up_upload()
 
     def _update_held_bytes(self) -> None:
         if self._upload_holder is None:
             return
         upload_bytes = len(self._unparsed) + len(self._body)
-        request_bytes = sum(len(each.body) for each in self._requests)
-        request_bytes += self._handled_bytes
+        upload_bytes += self._head_memory_bytes + self._fruitless_bytes
+        if self._is_reading_paused:
+            upload_bytes += self._estimate_unread_bytes()
         for holder, size_bytes in (
             # A complete request is counted once: it leaves the upload first.
             (self._upload_holder, upload_bytes),
-            (self._request_holder, request_bytes),
+            (self._queue_holder, sum(each.held_bytes for each in self._requests)),
+            (self._request_holder, self._handled_bytes),
         ):
             holder.set_size(size_bytes if size_bytes >= MIN_COUNTED_BYTES else 0)
 
+    def _estimate_unread_bytes(self) -> int:
+        """Return what the kernel may hold while this side does not read."""
+        if self._content_length is None:
+            return RECEIVE_BUFFER_BYTES
+        received_bytes = len(self._body) + len(self._unparsed)
+        left_bytes = max(self._content_length - received_bytes, 0)
+        return min(left_bytes, RECEIVE_BUFFER_BYTES)
+
+    def _release_response(self) -> None:
+        if self._response_holder is not None:
+            self._response_holder.release()
+
     def _reject_input(self, status: int) -> None:
         self._is_input_rejected = True
         log_event(
@@ -316,7 +423,7 @@
             has_head=self._has_head,
             body_bytes=len(self._body),
         )
-        self._enqueue(HttpRequest("", b"", [], b"", read_boot_time_s(), status, True))
+        self._enqueue(_make_rejected_request(status))
 
     # Task of the connection.
 
@@ -331,8 +438,10 @@
                 self._is_response_started = False
                 self._is_handling = True
                 self._must_close = self._must_close or request.closes_connection
-                self._handled_bytes = len(request.body)
+                self._handled_bytes = request.held_bytes
                 await self._handle_or_fail(request)
+                # Responses without a body are not waited for when written.
+                await self._write_ready.wait()
                 del request
                 self._is_handling = False
                 self._handled_bytes = 0
@@ -353,6 +462,7 @@
         finally:
             self._handled_bytes = 0
             self._update_held_bytes()
+            self._release_response()
             self._log_unanswered()
             if self._transport is not None and not self._transport.is_closing():
                 self._transport.close()
@@ -363,6 +473,8 @@
         Bytes that arrive after a close reset the connection, and the refusal is lost.
         """
         if self._transport is not None and not self._transport.is_closing():
+            self._is_discarding = True
+            self._wait_started_s = asyncio.get_running_loop().time()
             self._transport.write_eof()
             await asyncio.sleep(DISCARD_TIME_S)
 
@@ -496,6 +608,9 @@
         if self._is_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._write(data)
+        if not self._write_ready.is_set() and self._response_holder is not None:
+            # The buffer keeps all bytes of a write until the last one is sent.
+            self._response_holder.set_size(len(data) + WRITE_HIGH_WATER_BYTES)
         await self._write_ready.wait()
 
     def finish(self) -> None:
@@ -535,3 +650,7 @@
         if self._is_disconnected or self._transport is None:
             raise CallerGoneError("the caller closed the connection")
         self._transport.write(data)
+
+
+def _make_rejected_request(status: int) -> HttpRequest:
+    return HttpRequest("", b"", [], b"", read_boot_time_s(), status, True)
--- a/bilberryspring/connection/tests/test_http_caller.py
+++ b/bilberryspring/connection/tests/test_http_caller.py
@@ -16,6 +16,8 @@
 from bilberryspring.connection import http_caller
 from bilberryspring.connection.caller_policy import CallerPolicy
 from bilberryspring.connection.http_caller import MAX_HEADERS, CallerConnection
+from bilberryspring.process.caller_room import make_caller_room
+from bilberryspring.process.memory_bound import make_memory_bound
 
 
 def make_policy(header_s=0.3, idle_s=0.5):
@@ -27,7 +29,9 @@
 
     def __init__(self, policy=None):
         self.policy = policy or make_policy()
-        self.connections = set()
+        self.room = make_caller_room(1000)
+        self.memory = None
+        self.connections = self.room.connections
         self.requests = []
         self.cancelled_count = 0
         self.may_respond = None
@@ -37,6 +41,9 @@
         if request.error_status:
             connection.start_response(request.error_status, "Fault", [], 0)
             return
+        if request.target == b"/bodiless":
+            connection.start_response(200, "OK", [(b"X", b"y" * 4000)], 0)
+            return
         if request.target == b"/slow":
             connection.start_response(200, "OK", [], None)
         if self.may_respond is not None:
@@ -61,7 +68,7 @@
     async def start(self):
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            lambda: CallerConnection(self.handle, self.policy, self.connections),
+            lambda: CallerConnection(self.handle, self.policy, self.room, self.memory),
             "127.0.0.1",
             0,
         )
@@ -415,3 +422,57 @@
     headers = b"a: b\r\n" * (count - 1) + b"Connection: close\r\n"
     writer.write(b"GET / HTTP/1.1\r\n" + headers + b"\r\n")
     assert (await read_until_closed(reader)).startswith(b"HTTP/1.1 %d" % status)
+
+
+@pytest.mark.parametrize(
+    ("start", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nX: ", 431),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", 400),
+    ],
+)
+async def test_field_without_end_is_rejected(start, status):
+    server = CallerServer(make_policy(header_s=10, idle_s=10))
+    reader, writer = await server.start()
+    writer.write(start + b"x" * 60_000)
+    data = await read_until_closed(reader)
+    assert data.startswith(b"HTTP/1.1 %d" % status)
+    assert [each.error_status for each in server.requests] == [status]
+
+
+async def test_requests_ahead_wait_until_responses_are_read():
+    server = CallerServer()
+    reader, writer = await server.start()
+    reader._transport.pause_reading()
+    writer.write(b"GET /bodiless HTTP/1.1\r\nHost: h\r\n\r\n" * 20_000)
+    count = -1
+    while count != len(server.requests):
+        count = len(server.requests)
+        await asyncio.sleep(0.3)
+    # The kernel buffers some megabytes of responses.
+    assert 0 < count < 5_000
+    writer.transport.abort()
+
+
+async def test_requests_ahead_are_refused_for_want_of_memory():
+    server = CallerServer(CallerPolicy(CallerLimits(20_000, 100, 5.0, 5.0)))
+    server.memory = make_memory_bound(200_000)
+    server.may_respond = asyncio.Event()
+    reader, writer = await server.start()
+    fields = b"".join(b"f%d:x\r\n" % number for number in range(400))
+    request = b"POST / HTTP/1.1\r\nContent-Length: 0\r\n" + fields + b"\r\n"
+    writer.write(request)
+    while not server.requests:
+        await asyncio.sleep(0.01)
+    writer.write(request * 8)
+    while not server.memory.given_up_count:
+        await asyncio.sleep(0.01)
+    server.may_respond.set()
+    data = await read_until_closed(reader)
+    # The request in progress is answered, and the next one is refused.
+    assert data.startswith(b"HTTP/1.1 200")
+    assert data.count(b"HTTP/1.1") == 2 and b"HTTP/1.1 503" in data
+    writer.close()
+    await asyncio.sleep(0.05)
+    assert server.memory.held_bytes == 0
--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -32,7 +32,7 @@
 from bilberryspring.process.memory_bound import make_memory_bound
 from bilberryspring.request.errors import ErrorKind, Failure, Outcome, make_failure
 
-__all__ = ["ServerCalls", "make_server_calls"]
+__all__ = ["MAX_RESPONSES_BYTES", "ServerCalls", "make_server_calls"]
 
 # Round trips within a region take some milliseconds; TCP retransmits a lost SYN only
 # after a second.
@@ -237,14 +237,18 @@
     :param unreadable_values: counter of headers that could not be decoded.
     :ivar given_up_responses: number of responses that exceeded each bound.
     :ivar memory: bound on the memory of all responses.
+    :ivar connections: open connections.
     """
 
-    def __init__(self, unreadable_values: UnreadableValues) -> None:
+    def __init__(
+        self, unreadable_values: UnreadableValues, memory_limit_bytes: int
+    ) -> None:
         self.unreadable_values = unreadable_values
         self._idle_connections: dict[tuple[str, int], deque[BackendConnection]] = {}
         self.opened_connections = 0
         self.given_up_responses: Counter[Excess] = Counter()
-        self.memory = make_memory_bound(MAX_RESPONSES_BYTES)
+        self.memory = make_memory_bound(memory_limit_bytes)
+        self.connections: set[BackendConnection] = set()
 
     async def begin(
         self, server: BackendServer, request: IncomingRequest, time_left_s: float
@@ -282,7 +286,12 @@
         self, server: BackendServer, timeout_s: float
     ) -> BackendConnection | ConnectionFailure:
         return await open_connection(
-            server.host, server.port, timeout_s, self.memory, server.server_id
+            server.host,
+            server.port,
+            timeout_s,
+            self.memory,
+            server.server_id,
+            self.connections,
         )
 
     async def check_reachability(self, server: BackendServer) -> Reachability:
@@ -499,6 +508,9 @@
     return make_failure(ErrorKind.BACKEND_FAILED, reason)
 
 
-def make_server_calls() -> ServerCalls:
-    """Return a client without connections."""
-    return ServerCalls(make_unreadable_values())
+def make_server_calls(memory_limit_bytes: int = MAX_RESPONSES_BYTES) -> ServerCalls:
+    """Return a client without connections.
+
+    :param memory_limit_bytes: bound on the memory of all responses.
+    """
+    return ServerCalls(make_unreadable_values(), memory_limit_bytes)
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -7,16 +7,20 @@
 import random
 import signal
 import sys
+from functools import partial
 
 import uvloop
 
 from bilberryspring import __version__
-from bilberryspring.capability.routing import RoutingTable
+from bilberryspring.capability.routing import CallerLimits, RoutingTable
 from bilberryspring.connection.caller_policy import CallerPolicy
 from bilberryspring.connection.http_caller import CallerConnection, HttpRequest
 from bilberryspring.connection.router_reports import StoreSnapshot
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName
-from bilberryspring.platform.backend_calls import make_server_calls
+from bilberryspring.platform.backend_calls import (
+    MAX_RESPONSES_BYTES,
+    make_server_calls,
+)
 from bilberryspring.platform.caller_requests import (
     decode_request,
     make_http_caller_response,
@@ -32,7 +36,9 @@
     MachineSettings,
     load_machine_settings,
 )
+from bilberryspring.policy.caller_room import compute_memory_limit
 from bilberryspring.process.addresses import split_address
+from bilberryspring.process.caller_room import find_connection_limit, make_caller_room
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.credit_exchange import make_credit_exchange
 from bilberryspring.process.logs import close_logs, configure_logs, log_event
@@ -46,7 +52,7 @@
 from bilberryspring.request.dispatcher import make_dispatcher
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.fleet_budget import make_fleet_retry_budget
-from bilberryspring.request.relay import make_relay
+from bilberryspring.request.relay import MAX_BUFFERED_BODY_BYTES, make_relay
 from bilberryspring.request.suspect_contents import make_suspect_contents
 
 __all__ = ["FrontRouter", "main", "make_front_router"]
@@ -54,6 +60,13 @@
 LISTEN_BACKLOG = 1024
 # Memory of all requests of callers that are being received, queued or handled.
 MAX_REQUESTS_BYTES = 48 * 1024 * 1024
+# Readiness checks and reads of metrics have connections and memory of their own, so
+# that callers can't take them.
+CHECK_LIMITS = CallerLimits(max_header_bytes=8192, max_body_bytes=8192)
+MAX_CHECK_CONNECTIONS = 64
+CHECK_CONNECTION_SHARE = 1 / 8
+MAX_CHECKS_BYTES = 1024 * 1024
+NO_ROOM_REASON = "this router has no socket for a connection to a server"
 MAINTENANCE_INTERVAL_S = 0.5
 # Importing the metrics library blocks the event loop for a tenth of a second, so it is
 # delayed until the router serves callers.
@@ -93,11 +106,28 @@
         self._settings = settings
         self._routing_table: RoutingTable | None = None
         self._caller_policy = CallerPolicy()
-        self._caller_connections: set[CallerConnection] = set()
-        self._request_memory = make_memory_bound(MAX_REQUESTS_BYTES)
+        limit = find_connection_limit(settings.max_descriptors)
+        check_limit = min(MAX_CHECK_CONNECTIONS, int(limit * CHECK_CONNECTION_SHARE))
+        self._caller_room = make_caller_room(
+            # Seeds may name the control address, which has as much room as the checks.
+            limit - 2 * check_limit,
+            lambda: len(self._server_calls.connections),
+        )
+        self._caller_connections = self._caller_room.connections
+        self._request_memory = make_memory_bound(
+            self._find_request_limit_bytes(self._caller_policy.limits),
+            weighs_stalls=True,
+        )
+        self._check_policy = CallerPolicy(CHECK_LIMITS)
+        self._check_rooms = [make_caller_room(check_limit) for _ in range(2)]
+        self._check_memory = make_memory_bound(MAX_CHECKS_BYTES, weighs_stalls=True)
         self._servers = make_server_table()
         self._store = make_metadata_store(settings.store_address)
-        self._server_calls = make_server_calls()
+        self._server_calls = make_server_calls(
+            compute_memory_limit(
+                settings.memory_mib, MAX_RESPONSES_BYTES, MAX_BUFFERED_BODY_BYTES
+            )
+        )
         self._credits = make_credit_exchange(
             settings.ip,
             self._servers.limits,
@@ -208,6 +238,18 @@
                 "Requests refused while they were received, for want of memory",
                 lambda: self._request_memory.given_up_count,
             ),
+            "callers_ended": (
+                "Connections of callers that were ended for want of room",
+                lambda: {
+                    (state.value,): count
+                    for state, count in self._caller_room.ended.items()
+                },
+                "waited_for",
+            ),
+            "callers_refused": (
+                "Connections and requests of callers that found no room",
+                lambda: self._caller_room.refused_count,
+            ),
             "received_bytes_held": (
                 "Memory of requests and responses that are not passed on yet",
                 lambda: {
@@ -235,25 +277,34 @@
         """
         loop = asyncio.get_running_loop()
         self._loop_watch.start()
-        for address, handler, connections in (
+        checks = (self._check_policy, self._check_memory)
+        for address, handler, room, policy, memory in (
             (
                 self._settings.caller_address,
                 self._handle_caller_request,
-                self._caller_connections,
+                self._caller_room,
+                self._caller_policy,
+                self._request_memory,
+            ),
+            (
+                self._settings.readiness_address,
+                self._handle_readiness_request,
+                self._check_rooms[0],
+                *checks,
+            ),
+            (
+                self._settings.control_address,
+                self._handle_control_request,
+                self._check_rooms[1],
+                *checks,
             ),
-            (self._settings.readiness_address, self._handle_readiness_request, set()),
-            (self._settings.control_address, self._handle_control_request, set()),
         ):
             if not address:
                 continue
             host, port = split_address(address)
+            make_connection = partial(CallerConnection, handler, policy, room, memory)
             listener = await loop.create_server(
-                lambda handler=handler, connections=connections: CallerConnection(
-                    handler, self._caller_policy, connections, self._request_memory
-                ),
-                host,
-                port,
-                backlog=LISTEN_BACKLOG,
+                make_connection, host, port, backlog=LISTEN_BACKLOG
             )
             self._listeners.append(listener)
         await self._peers.start()
@@ -306,6 +357,8 @@
     def _apply_table(self, table: RoutingTable) -> None:
         self._routing_table = table
         self._caller_policy.limits = table.limits
+        limit_bytes = self._find_request_limit_bytes(table.limits)
+        self._request_memory.limit_bytes = limit_bytes
         log_event(
             "configuration_adopted",
             version=table.version,
@@ -315,6 +368,11 @@
         )
         self._dispatcher.dispatch_all_waiting()
 
+    def _find_request_limit_bytes(self, limits: CallerLimits) -> int:
+        return compute_memory_limit(
+            self._settings.memory_mib, MAX_REQUESTS_BYTES, limits.max_body_bytes
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send new connections to this router."""
@@ -327,6 +385,9 @@
     async def _handle_readiness_request(
         self, request: HttpRequest, connection: CallerConnection
     ) -> None:
+        if request.error_status:
+            connection.start_response(request.error_status, "Refused", [], 0)
+            return
         if request.target.partition(b"?")[0] == METRICS_PATH:
             body = self._metrics.render().encode()
             connection.start_response(200, "OK", METRICS_HEADERS, len(body))
@@ -370,7 +431,13 @@
         if pool is None:
             await response.refuse(make_failure(ErrorKind.NO_INSTANCE))
             return
-        outcome = await self._relay.relay(incoming, pool, response)
+        if not self._caller_room.begin_request():
+            await response.refuse(make_failure(ErrorKind.OVERLOADED, NO_ROOM_REASON))
+            return
+        try:
+            outcome = await self._relay.relay(incoming, pool, response)
+        finally:
+            self._caller_room.end_request()
         log_event(
             "request_answered",
             request_id=incoming.request_id,
@@ -406,6 +473,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self._settings.stop_s - STOP_MARGIN_S
         self._caller_policy.is_shutting_down = True
+        self._check_policy.is_shutting_down = True
         until_stop_s = self._settings.stop_s - STOP_MARGIN_S - LAST_RESPONSE_MARGIN_S
         now_s = read_boot_time_s()
         # Within a short grace period, requests are refused before the load balancer
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -30,6 +30,9 @@
         the router does not listen for them.
     :param peer_port: port for datagrams between routers.
     :param link_mbps: bandwidth of the machine's network link, in Mbit/s.
+    :param memory_mib: memory that the process may have; zero if it is not stated.
+    :param max_descriptors: descriptors that the process may have; zero if it is not
+        stated.
     :param seed_ips: IP addresses of machines on which other routers may run; some may
         no longer exist.
     :param store_address: ``ip:port`` of the metadata store.
@@ -51,6 +54,8 @@
     control_address: str
     peer_port: int
     link_mbps: float
+    memory_mib: float
+    max_descriptors: int
     seed_ips: tuple[str, ...]
     store_address: str
     leaving_s: float
@@ -159,6 +164,8 @@
         "control_address": read("listen.control", _check_address, ""),
         "peer_port": read("internalPorts", _check_port_range),
         "link_mbps": read("limits.linkMbps", _check_positive, 1000.0),
+        "memory_mib": read("limits.memoryMb", _check_positive, 0.0),
+        "max_descriptors": int(read("limits.maxFds", _check_positive, 0.0)),
         "seed_ips": read("seeds", _check_seeds, ()),
         "store_address": read("platform.address", _check_address),
         "leaving_s": read("bounds.drainMs", _check_positive, 2000.0) / 1000,
--- a/bilberryspring/platform/tests/test_misbehaving_callers.py
+++ b/bilberryspring/platform/tests/test_misbehaving_callers.py
@@ -14,6 +14,7 @@
     FORMS,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
+    CrowdForm,
     Target,
     play_crowd,
 )
@@ -87,11 +88,12 @@
     """Return whether one request of an ordinary caller is answered."""
     for _ in range(MAX_TRIES):
         try:
-            status, _ = await _request(method, url, **options)
-        except (aiohttp.ClientError, TimeoutError):
-            status = 0
-        if status == 200:
+            result, _ = await _request(method, url, **options)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            result = repr(error)
+        if result == 200:
             return True
+        print(f"{method} {url}: {result}")
         await asyncio.sleep(0.2)
     return False
 
@@ -124,3 +126,16 @@
         "POST", router.url + "/orders/x", data=body, headers=headers
     )
     assert answer == (200, b"done " + body)
+
+
+async def test_readiness_is_answered_while_callers_take_all_room(router, deployment):
+    deployment.server.delay_s = 20.0
+    form = CrowdForm(lambda t: [t.make_head(method="GET") + b"\r\n"], 240)
+
+    async def check():
+        ready_url = f"http://{router.ip}:{router.ready_port}/ready"
+        assert await is_served("GET", ready_url)
+
+    targets = make_targets(router, "/books/x")[:1]
+    observed = await play_crowd(form, targets, router.process.pid, check)
+    assert observed.peak_sockets <= MAX_SOCKETS, observed
--- a/bilberryspring/process/http_server.py
+++ b/bilberryspring/process/http_server.py
@@ -10,6 +10,7 @@
 
 from sanic import Sanic
 from sanic.server import AsyncioServer
+from sanic.server.protocols.http_protocol import HttpProtocol
 
 from bilberryspring.process.settings import split_address
 
@@ -30,10 +31,12 @@
 
     :param app: application with its routes.
     :param address: ``ip:port`` to listen on.
+    :param protocol: class of the connections; ``None`` for that of Sanic.
     """
 
-    def __init__(self, app: Sanic, address: str):
+    def __init__(self, app: Sanic, address: str, protocol: type[HttpProtocol] | None):
         self.app = app
+        self._protocol = protocol
         self.address = address
         self._server: AsyncioServer | None = None
 
@@ -46,6 +49,7 @@
         self._server = await self.app.create_server(
             host=host,
             port=port,
+            protocol=self._protocol,
             backlog=LISTEN_BACKLOG,
             access_log=False,
             return_asyncio_server=True,
@@ -117,10 +121,13 @@
     return app
 
 
-def make_http_server(app: Sanic, address: str) -> HttpServer:
+def make_http_server(
+    app: Sanic, address: str, protocol: type[HttpProtocol] | None = None
+) -> HttpServer:
     """Return a server that is not started.
 
     :param app: application with its routes.
     :param address: ``ip:port`` to listen on.
+    :param protocol: class of the connections; ``None`` for that of Sanic.
     """
-    return HttpServer(app, address)
+    return HttpServer(app, address, protocol)
--- a/bilberryspring/process/router.py
+++ b/bilberryspring/process/router.py
@@ -11,12 +11,19 @@
 )
 from bilberryspring.connection.messages import Final
 from bilberryspring.connection.peers import make_peer_server
+from bilberryspring.connection.sanic_callers import make_room_protocol
 from bilberryspring.identifiers import PoolName
+from bilberryspring.policy.caller_room import compute_memory_limit
+from bilberryspring.process.administration import (
+    MAX_BODY_BYTES as MAX_ADMINISTRATION_BODY_BYTES,
+)
 from bilberryspring.process.administration import make_administration_application
 from bilberryspring.process.caller_api import make_caller_application
+from bilberryspring.process.caller_room import find_connection_limit, make_caller_room
 from bilberryspring.process.exchange import make_exchange
 from bilberryspring.process.http_server import make_http_server
 from bilberryspring.process.logs import log_event
+from bilberryspring.process.memory_bound import make_memory_bound
 from bilberryspring.process.node import Node
 from bilberryspring.process.program import run_program
 from bilberryspring.process.result_fields import (
@@ -33,6 +40,13 @@
 
 DRAIN_POLL_S = 0.02
 CLOSE_GRACE_S = 2.0
+# Bound on the memory of callers' requests where the machine's memory is not stated.
+MAX_REQUESTS_BYTES = 256 * 1024 * 1024
+# Memory of an idle router.
+BASE_MEMORY_MIB = 80
+# The administration API keeps connections of its own.
+MAX_ADMINISTRATION_CONNECTIONS = 64
+ADMINISTRATION_SHARE = 1 / 8
 
 T = TypeVar("T")
 
@@ -55,11 +69,36 @@
         self.server = make_peer_server(
             settings, settings.peer_address, self, self.handle_request_frame
         )
+        limit = find_connection_limit(settings.max_descriptors)
+        administration_limit = min(
+            MAX_ADMINISTRATION_CONNECTIONS, int(limit * ADMINISTRATION_SHARE)
+        )
+        self.caller_room = make_caller_room(
+            limit - administration_limit, lambda: len(self.peers)
+        )
+        self.request_memory = make_memory_bound(
+            compute_memory_limit(
+                settings.memory_mb,
+                MAX_REQUESTS_BYTES,
+                settings.max_body_bytes,
+                BASE_MEMORY_MIB,
+            ),
+            weighs_stalls=True,
+        )
         self.caller_server = make_http_server(
-            make_caller_application(self), settings.caller_address
+            make_caller_application(self),
+            settings.caller_address,
+            make_room_protocol(self.caller_room, self.request_memory),
+        )
+        administration_memory = make_memory_bound(
+            2 * MAX_ADMINISTRATION_BODY_BYTES, weighs_stalls=True
         )
         self.administration_server = make_http_server(
-            make_administration_application(self), settings.administration_address
+            make_administration_application(self),
+            settings.administration_address,
+            make_room_protocol(
+                make_caller_room(administration_limit), administration_memory
+            ),
         )
         self.request_latency = self.metrics.add_latency_histogram(
             "request_seconds", "Requests of callers", "rank", "result"
@@ -67,6 +106,21 @@
         self.first_chunk_latency = self.metrics.add_latency_histogram(
             "first_chunk_seconds", "Time to the first chunk", "rank"
         )
+        self.metrics.add_gauge(
+            "caller_connections",
+            "Open connections of callers",
+            lambda: len(self.caller_room.connections),
+        )
+        self.metrics.add_gauge(
+            "callers_ended",
+            "Connections of callers that were ended for want of room",
+            lambda: self.caller_room.ended.total(),
+        )
+        self.metrics.add_gauge(
+            "uploads_given_up",
+            "Requests refused while they were received, for want of memory",
+            lambda: self.request_memory.given_up_count,
+        )
         self.metrics.add_gauge("active_requests", "Open requests", lambda: self.active)
         self.metrics.add_gauge(
             "queued_events",
--- /dev/null
+++ b/bilberryspring/process/tests/test_caller_room.py
@@ -0,0 +1,73 @@
+"""Connections of callers find room while others wait.
+
+Guards against callers that keep all sockets of a process by waiting, and against
+requests in progress that are ended for new connections.
+"""
+
+from bilberryspring.policy.caller_room import CallerState, CallerView
+from bilberryspring.process.caller_room import make_caller_room
+
+
+class Connection:
+    def __init__(self, state=CallerState.IDLE, waited_s=1.0):
+        self.state, self.waited_s = state, waited_s
+        self.is_ended = False
+
+    def view(self):
+        return CallerView(self.state, self.waited_s)
+
+    def end(self):
+        self.is_ended = True
+
+
+def fill(room, state, count=10):
+    connections = [Connection(state, count - number) for number in range(count)]
+    assert all(room.admit(each) for each in connections)
+    return connections
+
+
+def test_longest_wait_is_ended_for_a_new_connection():
+    room = make_caller_room(10)
+    connections = fill(room, CallerState.RECEIVING)
+    assert room.admit(Connection())
+    assert [each.is_ended for each in connections] == [True] + [False] * 9
+    assert len(room.connections) == 10
+    assert room.ended[CallerState.RECEIVING] == 1
+
+
+def test_request_in_progress_is_never_ended():
+    room = make_caller_room(10)
+    connections = fill(room, CallerState.WORKING)
+    assert not room.admit(Connection())
+    assert room.refused_count == 1
+    assert not any(each.is_ended for each in connections)
+
+
+def test_crawling_sender_is_ended_before_an_idle_caller():
+    room = make_caller_room(2)
+    idle, crawling = Connection(waited_s=5), Connection(CallerState.RECEIVING, 2)
+    for connection in (idle, crawling, Connection(waited_s=0)):
+        assert room.admit(connection)
+    assert crawling.is_ended and not idle.is_ended
+
+
+def test_requests_in_progress_keep_sockets_for_backend_servers():
+    open_sockets = 0
+    room = make_caller_room(10, lambda: open_sockets)
+    fill(room, CallerState.IDLE, 8)
+    assert room.begin_request() and room.begin_request()
+    assert len(room.connections) == 8
+    open_sockets = 5
+    assert room.begin_request()
+    assert len(room.connections) == 5
+    for _ in range(3):
+        room.end_request()
+    open_sockets = 0
+    assert room.admit(Connection())
+    assert len(room.connections) == 6
+
+
+def test_request_without_room_is_refused():
+    room = make_caller_room(10, lambda: 0)
+    fill(room, CallerState.WORKING)
+    assert not room.begin_request()
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -433,6 +433,9 @@
         return attempt
 
     def _end_attempt(self, attempt: Attempt, taken_s: float | None = None) -> None:
+        if attempt.is_ended:
+            return
+        attempt.is_ended = True
         attempt.reservation.record.record_ended(attempt)
         attempt.exchange.close()
         self._dispatcher.release(attempt.reservation, taken_s)
@@ -551,7 +554,7 @@
         request: IncomingRequest,
         reservation: Reservation,
         progress: ResponseProgress,
-        stream_token: object,
+        attempt: Attempt,
     ) -> Failure | None:
         body = CollectedBytes()
         limit_bytes = (
@@ -566,7 +569,7 @@
             if chunk is None:
                 break
             reservation.record.record_response(
-                stream_token, asyncio.get_running_loop().time()
+                attempt, asyncio.get_running_loop().time()
             )
             body.append(chunk)
             if len(body) > limit_bytes:
@@ -574,7 +577,12 @@
                 return exchange.give_up(Excess.BODY, reason)
             exchange.keep_bytes(len(body))
         progress.start(head, len(body), read_boot_time_s() - request.received_s)
-        await progress.answer.write(body.join())
+        data = body.join()
+        body.clear()
+        # A caller that reads slowly keeps no capacity of the server.
+        taken_s = asyncio.get_running_loop().time() - attempt.sent_s
+        self._end_attempt(attempt, taken_s)
+        await progress.answer.write(data)
         progress.answer.finish()
         return _SUCCESS
 
--- a/bilberryspring/request/response_progress.py
+++ b/bilberryspring/request/response_progress.py
@@ -27,12 +27,14 @@
     :param exchange: the request and its response.
     :param sent_s: monotonic time before it was sent.
     :param head: head of the response; ``None`` until it was read.
+    :param is_ended: whether the response ended and its capacity was released.
     """
 
     reservation: Reservation
     exchange: Exchange
     sent_s: float
     head: BackendResponseHead | None = None
+    is_ended: bool = False
 
 
 @dataclass(slots=True)
--- a/bilberryspring/request/tests/test_relay.py
+++ b/bilberryspring/request/tests/test_relay.py
@@ -30,6 +30,7 @@
     make_suspect_contents,
 )
 from bilberryspring.request.tests.relay_fixtures import (
+    RecordedAnswer,
     ScriptedBackendCalls,
     make_head,
     make_lost_connection,
@@ -755,3 +756,19 @@
         table.pause(table.records[server_id], 5.0)
     _, calls = await relay(REPEATABLE_ROUTE, [[]], table=table)
     assert [server for server, _, _ in calls.sent] == ["a"]
+
+
+async def test_slow_reader_of_a_whole_response_keeps_no_capacity(monkeypatch):
+    table = make_server_table()
+    table.put(make_server("a"))
+    record = table.records["a"]
+    requests_while_writing = []
+
+    async def write(answer, data):
+        requests_while_writing.append(record.requests)
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(RecordedAnswer, "write", write)
+    await relay(ONCE_ROUTE, [COMPLETE_RESPONSE], table=table)
+    assert requests_while_writing == [0]
+    assert record.requests == 0
