Take neither odd statuses nor reset bodies for answers

A body without length ended with the server's end of data also while the request was still being sent, and where a reset followed it at once.

Change: a status outside 100 to 599 is the server's failure with unknown outcome, in both programs. A server that reads on is waited for.

Existing test replaced: test_end_of_a_body_without_length_is_told_from_a_reset expected a whole body for half-close-then-reset with 4 MB unread. It now has 0 and 40 kB, which fit (whole, as before), and 12 MB, which do not (reset); "close" with unread bytes has 40 kB, and 12 MB where the server reads on; "reset" has all three. test_status_that_is_none_is_the_servers_failure has two servers now, so that the second try of a repeatable request shows; with one there was none.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -17,6 +17,11 @@
 
 from bilberryspring.capability.backend_calls import Excess
 from bilberryspring.connection.input_turns import TurnProtocol
+from bilberryspring.connection.response_ends import (
+    RESET_WAIT_S,
+    has_reset,
+    is_status,
+)
 from bilberryspring.process.memory_bound import MemoryBound, MessageKind
 
 __all__ = [
@@ -198,19 +203,37 @@
         return self._buffered_bytes <= limit_bytes
 
     def eof_received(self) -> bool:
-        """End a close-delimited body.
+        """Begin to end a close-delimited body.
 
         Only the server's end of data ends it: after a reset or a close by this side it
-        is incomplete.
+        is incomplete, and so it is until the whole request has been sent.
 
-        :returns: False, so that the transport closes this side too.
+        :returns: whether the transport stays open for now.
         """
         self.parse_rest()
-        if self._failure is None and self._is_reading_body and self._is_close_delimited:
-            self._is_reading_body = False
-            self._keeps_alive = False
-            self._enqueue(_END_OF_RESPONSE)
-        return False
+        if self._failure is not None or not self._is_reading_body:
+            return False
+        if not self._is_close_delimited or self._transport is None:
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESET_WAIT_S, self._end_close_delimited_body)
+        return True
+
+    def _end_close_delimited_body(self) -> None:
+        if self._failure is not None or self._transport is None:
+            return
+        if self._transport.get_write_buffer_size():
+            # The server may still read the rest of the request, or reset it.
+            loop = asyncio.get_running_loop()
+            loop.call_later(RESET_WAIT_S, self._end_close_delimited_body)
+            return
+        if has_reset(self._transport):
+            self._fail(ConnectionFailureKind.RESET, "reset after the end of its data")
+            return
+        self._is_reading_body = False
+        self._keeps_alive = False
+        self._enqueue(_END_OF_RESPONSE)
+        self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail pending reads."""
@@ -256,13 +279,16 @@
     def on_headers_complete(self) -> None:
         """Queue the head of a response, unless its status is 1xx.
 
-        :raises ValueError: if the head contains the start of another response, which
-            follows when the server breaks a response off and sends the next.
+        :raises ValueError: if the status is none, or if the head contains the start of
+            another response, which follows when the server breaks a response off and
+            sends the next.
         """
         head_parts = (self._reason_phrase, *(value for _, value in self._headers))
         if any(_STATUS_LINE.search(part) for part in head_parts):
             raise ValueError("a response began in the head of another")
         status = self._parser.get_status_code()
+        if not is_status(status):
+            raise ValueError(f"{status:03d} is no status")
         self._is_informational = 100 <= status < 200
         if self._is_informational:
             return
--- a/bilberryspring/connection/turn_client.py
+++ b/bilberryspring/connection/turn_client.py
@@ -15,6 +15,7 @@
     SLICE_BYTES,
     find_input_turns,
 )
+from bilberryspring.connection.response_ends import RESET_WAIT_S, has_reset
 
 __all__ = ["TurnConnector", "TurnResponseHandler"]
 
@@ -24,6 +25,7 @@
 
     :param loop: event loop of the connection.
     :ivar parse_time_s: time in seconds that turns took since the connection began.
+    :ivar is_reset: whether the end of the server's data was followed by a reset.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
@@ -31,6 +33,7 @@
         self._unparsed = bytearray()
         self._is_in_turns = False
         self.parse_time_s = 0.0
+        self.is_reset = False
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes at once if they are few, else in turns.
@@ -80,6 +83,30 @@
         if self._unparsed and not self._reading_paused:
             self._take_turns()
 
+    def eof_received(self) -> bool:
+        """Wait for a reset if the server's end of data may end a body.
+
+        :returns: whether the transport stays open for now.
+        """
+        super().eof_received()
+        if self.transport is None or not self._is_reading_body():
+            return False
+        asyncio.get_running_loop().call_later(RESET_WAIT_S, self._end_body)
+        return True
+
+    def _is_reading_body(self) -> bool:
+        return self._payload is not None and not self._payload.is_eof()
+
+    def _end_body(self) -> None:
+        if self.transport is None:
+            return
+        if self.transport.get_write_buffer_size():
+            # The server may still read the rest of the request, or reset it.
+            asyncio.get_running_loop().call_later(RESET_WAIT_S, self._end_body)
+            return
+        self.is_reset = self.is_reset or has_reset(self.transport)
+        self.transport.close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Parse the bytes that wait, since no more will be received."""
         rest = bytes(self._unparsed)
--- a/bilberryspring/request/backend_session.py
+++ b/bilberryspring/request/backend_session.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from bilberryspring.connection.response_ends import is_status
 from bilberryspring.connection.turn_client import TurnConnector
 from bilberryspring.request.backend_call import CONNECT_TIMEOUT_S, BackendCall
 from bilberryspring.request.errors import Outcome
@@ -33,9 +34,12 @@
         """Start to read the response.
 
         :param connection: connection that the request was sent over.
+        :raises aiohttp.ClientPayloadError: if the status is none.
         """
         self._reading_protocol = connection.protocol
         await super().start(connection)
+        if not is_status(self.status):
+            raise aiohttp.ClientPayloadError(f"{self.status:03d} is no status")
         return self
 
     def raise_for_reset(self) -> None:
@@ -47,9 +51,13 @@
         is_framed = (
             "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
         )
+        if not has_body or is_framed:
+            return
         error = self._reading_protocol.exception()
-        if has_body and not is_framed and isinstance(error, aiohttp.ClientOSError):
+        if isinstance(error, aiohttp.ClientOSError):
             raise error
+        if self._reading_protocol.is_reset:
+            raise aiohttp.ClientOSError("reset after the end of its data")
 
 
 class BackendConnector(TurnConnector):
