Give the control address connections of its own, by the callers' limits

Cause: servers call the control address on every machine of their side; the limits of readiness checks (64 connections, 8 KiB) are too small for it.

Change: an eighth of the connections, the callers' limits and memory.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -65,6 +65,8 @@
 CHECK_LIMITS = CallerLimits(max_header_bytes=8192, max_body_bytes=8192)
 MAX_CHECK_CONNECTIONS = 64
 CHECK_CONNECTION_SHARE = 1 / 8
+# Servers call the control address.
+CONTROL_SHARE = 1 / 8
 MAX_CHECKS_BYTES = 1024 * 1024
 NO_ROOM_REASON = "this router has no socket for a connection to a server"
 MAINTENANCE_INTERVAL_S = 0.5
@@ -108,18 +110,19 @@
         self._caller_policy = CallerPolicy()
         limit = find_connection_limit(settings.max_descriptors)
         check_limit = min(MAX_CHECK_CONNECTIONS, int(limit * CHECK_CONNECTION_SHARE))
+        control_limit = int(limit * CONTROL_SHARE) if settings.control_address else 0
         self._caller_room = make_caller_room(
-            # Seeds may name the control address, which has as much room as the checks.
-            limit - 2 * check_limit,
+            limit - check_limit - control_limit,
             lambda: len(self._server_calls.connections),
         )
+        self._control_room = make_caller_room(control_limit)
         self._caller_connections = self._caller_room.connections
         self._request_memory = make_memory_bound(
             self._find_request_limit_bytes(self._caller_policy.limits),
             weighs_stalls=True,
         )
         self._check_policy = CallerPolicy(CHECK_LIMITS)
-        self._check_rooms = [make_caller_room(check_limit) for _ in range(2)]
+        self._check_room = make_caller_room(check_limit)
         self._check_memory = make_memory_bound(MAX_CHECKS_BYTES, weighs_stalls=True)
         self._servers = make_server_table()
         self._store = make_metadata_store(settings.store_address)
@@ -277,7 +280,6 @@
         """
         loop = asyncio.get_running_loop()
         self._loop_watch.start()
-        checks = (self._check_policy, self._check_memory)
         for address, handler, room, policy, memory in (
             (
                 self._settings.caller_address,
@@ -289,14 +291,16 @@
             (
                 self._settings.readiness_address,
                 self._handle_readiness_request,
-                self._check_rooms[0],
-                *checks,
+                self._check_room,
+                self._check_policy,
+                self._check_memory,
             ),
             (
                 self._settings.control_address,
                 self._handle_control_request,
-                self._check_rooms[1],
-                *checks,
+                self._control_room,
+                self._caller_policy,
+                self._request_memory,
             ),
         ):
             if not address:
