--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -34,6 +34,7 @@
 coldSlack = 5
 [platform]
 address = "{store}"
+{limits}
 """
 
 
@@ -52,7 +53,16 @@
 class Router:
     """One router process."""
 
-    def __init__(self, tmp_path, store, ip="127.0.0.1", ports=(), seeds=(), grace_s=8):
+    def __init__(
+        self,
+        tmp_path,
+        store,
+        ip="127.0.0.1",
+        ports=(),
+        seeds=(),
+        grace_s=8,
+        limits="",
+    ):
         ports = ports or (find_free_port(), find_free_port(), find_free_port())
         self.ip = ip
         self.port, self.ready_port, self.peer_port = ports
@@ -62,6 +72,7 @@
             SETTINGS_TEMPLATE.format(
                 node=f"front-{ip}",
                 grace_s=grace_s,
+                limits=limits,
                 ip=ip,
                 peer_port=self.peer_port,
                 port=self.port,
--- a/bilberryspring/request/placement_preview.py
+++ b/bilberryspring/request/placement_preview.py
@@ -146,7 +146,7 @@
     reservation = decision.reservation
     choice = None if reservation is None else reservation.record.server.server_id
     previews = [
-        _preview_server(record, decision, choice, servers, now_s)
+        _preview_server(record, decision, choice, servers, request, now_s)
         for record in servers.list_all(pool.name)
     ]
     return PlacementPreview(
@@ -170,10 +170,11 @@
     decision: PlacementDecision,
     choice: InstanceId | None,
     servers: ServerTable,
+    request: IncomingRequest,
     now_s: float,
 ) -> ServerPreview:
     server = record.server
-    view = view_server(record, servers)
+    view = view_server(record, servers, request)
     decided = decision.exclusions.get(server.server_id)
     if decided is Exclusion.LIMITED and servers.cold.is_cold(server):
         decided = Exclusion.COLD
