--- a/bilberryspring/policy/tests/limit_replay.py
+++ b/bilberryspring/policy/tests/limit_replay.py
@@ -338,7 +338,8 @@
         router.table.cold.set_pools({pool.name: pool})
         router.table.cold.set_bound(COLD_OVERAGE_FACTOR, COLD_SLACK_REQUESTS)
         if fleet.has_equal_shares:
-            router.dispatcher._credits = _EqualShares(router)
+            shares = _EqualShares(router)
+            router.dispatcher._credits = router.dispatcher._planner._credits = shares
         list_servers(router)
         routers[number] = router
         runs[number] = [
