Compare connections in vain at most every 50 ms

Cause: where every caller has a request in progress, each new connection of a crowd compared all of them again.

--- a/bilberryspring/process/caller_room.py
+++ b/bilberryspring/process/caller_room.py
@@ -6,6 +6,7 @@
 """
 
 import resource
+import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
@@ -23,6 +24,8 @@
 # Share of the limit that is freed at once, so that the connections are not compared
 # again for each new one.
 FREED_SHARE = 1 / 16
+# After the connections were compared in vain, they are not compared for this long.
+COMPARE_INTERVAL_S = 0.05
 
 
 class RoomTaker(Protocol):
@@ -54,6 +57,7 @@
         self.working = 0
         self.ended: Counter[CallerState] = Counter()
         self.refused_count = 0
+        self._next_comparison_s = 0.0
 
     def _count_sockets(self) -> int:
         if self._count_backend_sockets is None:
@@ -66,6 +70,9 @@
         missing = self._count_sockets() + sockets - self.limit
         if missing <= 0:
             return True
+        now_s = time.monotonic()
+        if now_s < self._next_comparison_s:
+            return False
         waiting = list(self.connections)
         count = max(missing, int(self.limit * FREED_SHARE))
         chosen = choose_ended([each.view() for each in waiting], count)
@@ -84,7 +91,10 @@
                 connections=len(self.connections),
                 **{state.value: count for state, count in ended.items()},
             )
-        return len(chosen) >= missing
+        if len(chosen) < missing:
+            self._next_comparison_s = now_s + COMPARE_INTERVAL_S
+            return False
+        return True
 
     def admit(self, connection: RoomTaker) -> bool:
         """Add a new connection.
--- a/bilberryspring/process/tests/test_caller_room.py
+++ b/bilberryspring/process/tests/test_caller_room.py
@@ -5,6 +5,7 @@
 """
 
 from bilberryspring.policy.caller_room import CallerState, CallerView
+from bilberryspring.process import caller_room
 from bilberryspring.process.caller_room import make_caller_room
 
 
@@ -43,6 +44,21 @@
     assert not any(each.is_ended for each in connections)
 
 
+def test_connections_are_not_compared_for_each_refusal(monkeypatch):
+    monkeypatch.setattr(caller_room.time, "monotonic", lambda: 1.0)
+    room = make_caller_room(10)
+    connections = fill(room, CallerState.WORKING)
+    comparisons = []
+    connections[0].view = lambda: (
+        comparisons.append(1) or CallerView(CallerState.WORKING, 0)
+    )
+    assert not any(room.admit(Connection()) for _ in range(100))
+    assert len(comparisons) == 1
+    # A connection that was closed makes room at once.
+    room.remove(connections[1])
+    assert room.admit(Connection())
+
+
 def test_crawling_sender_is_ended_before_an_idle_caller():
     room = make_caller_room(2)
     idle, crawling = Connection(waited_s=5), Connection(CallerState.RECEIVING, 2)
