--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -76,6 +76,7 @@
     "engine_version_seen": Event(_STATE, "a version of the engine was detected"),
     "engine_version_changed": Event(_STATE, "the engine now runs another version"),
     "crash_recorded": Event(_STATE, "a request content crashed a backend server"),
+    "cost_error": Event(_ROUTINE, "how far nine of ten predicted costs are off"),
     "server_crashed": Event(_STATE, "a server crashed before answering a request"),
     "content_quarantined": Event(_STATE, "requests with a content are refused"),
     "content_released": Event(_STATE, "requests with a content are served again"),
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -43,7 +43,8 @@
     make_pause_refusal,
     make_placement_planner,
 )
-from bilberryspring.request.reservations import ENGINE_BASE_LATENCY_S, Reservation
+from bilberryspring.request.reservations import Reservation
+from bilberryspring.request.response_progress import ResponseProgress
 
 __all__ = ["Dispatcher", "make_dispatcher"]
 
@@ -103,6 +104,7 @@
         self._redispatches: dict[PoolName, asyncio.TimerHandle] = {}
         self._sequence_numbers = itertools.count()
         self._mean_service_s = self._planner.mean_service_s
+        self.costs = self._planner.costs
         self._shedders: defaultdict[PoolName, LoadShedder] = defaultdict(
             make_load_shedder
         )
@@ -231,6 +233,7 @@
             ``None`` if there was none. It updates the pool's mean service time.
         """
         reservation.mark_prefill_done()
+        reservation.end_work()
         reservation.settle_trial(is_accepted=taken_s is not None)
         record = reservation.record
         record.change_requests(-1, asyncio.get_running_loop().time())
@@ -245,6 +248,45 @@
             )
         self.dispatch_waiting(pool)
 
+    def record_start(
+        self, request: IncomingRequest, reservation: Reservation, taken_s: float
+    ) -> None:
+        """Learn from the begin of a response.
+
+        :param request: the request.
+        :param reservation: its reservation.
+        :param taken_s: time from sending it, in seconds.
+        """
+        if reservation.start_terms is not None:
+            self.costs.record_start(
+                request,
+                reservation.record.server.pool,
+                reservation.start_terms,
+                taken_s,
+            )
+
+    def record_answer(
+        self,
+        request: IncomingRequest,
+        reservation: Reservation,
+        progress: ResponseProgress,
+        taken_s: float,
+    ) -> None:
+        """Learn from a complete response.
+
+        :param request: the request.
+        :param reservation: its reservation.
+        :param progress: progress of the response.
+        :param taken_s: time from sending the request, in seconds.
+        """
+        pool = progress.pool
+        if pool.engine is None:
+            mean_s = self.get_mean_service_s(pool.name)
+            self.costs.record_service(request, pool.name, mean_s, taken_s)
+        elif request.prompt is not None and request.resume_after is None:
+            output_tokens = progress.event_count * pool.engine.chunk_tokens
+            self.costs.record_output(request, output_tokens)
+
     def dispatch_waiting(self, pool: PoolName) -> None:
         """Assign servers to the waiting requests of a pool, the most urgent first.
 
@@ -451,7 +493,9 @@
             pool_slots=sum(max(record.server.slots, 1) for record in unlimited),
             router_count=self.router_count,
             service_s=service_s,
-            target_event_s=service_s if pool.engine is None else ENGINE_BASE_LATENCY_S,
+            target_event_s=service_s
+            if pool.engine is None
+            else self.costs.get_coefficients(pool.name).base_s,
             target_s=request.route.target_s,
             remaining_s=must_end_s - self._read_clock(),
             limited_per_s=limited_per_s,
@@ -538,6 +582,7 @@
         )
         reservation.mean_requests = sum(r.total_requests for r in ready) / len(ready)
         reservation.servers_without_room = len(ready) - len(decision.candidates)
+        self._planner.count_work(reservation, request, pool)
         record.change_requests(1, now_s)
         record.prompt_tokens += reservation.prompt_tokens
         record.held_tokens += reservation.held_tokens
--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from bilberryspring.capability.routing import IncomingRequest, PoolLimits
+from bilberryspring.capability.routing import IncomingRequest, PoolLimits, Prompt
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName
 from bilberryspring.policy.direct_admission import (
     compute_capacity_share,
@@ -23,13 +23,19 @@
     compute_unsampled_penalties,
     draw_uniform,
 )
+from bilberryspring.policy.request_cost import (
+    GUESSED_START_COEFFICIENTS,
+    StartCoefficients,
+    StartTerms,
+    compute_work_s,
+)
 from bilberryspring.policy.server_eligibility import Exclusion
 from bilberryspring.process.credit_exchange import CreditExchange, CreditState
 from bilberryspring.process.server_table import ServerRecord, ServerTable
+from bilberryspring.request.cost_estimates import CostEstimates, make_cost_estimates
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.recent_usage import RecentUsage, make_recent_usage
 from bilberryspring.request.reservations import (
-    ENGINE_BASE_LATENCY_S,
     Reservation,
     plan_reservation,
     predict_engine_start_s,
@@ -71,6 +77,24 @@
 MAX_NAMED_SERVERS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class _Cost:
+    """What a request costs at any server of its pool.
+
+    :param service_s: predicted time at a plain server, in seconds.
+    :param differs: whether requests of the pool differ in cost.
+    :param prompt: prompt of a request to an engine, ``None`` for others.
+    :param coefficients: coefficients of the pool's engines.
+    :param output_tokens: tokens that the response is predicted to have.
+    """
+
+    service_s: float
+    differs: bool
+    prompt: Prompt | None = None
+    coefficients: StartCoefficients = GUESSED_START_COEFFICIENTS
+    output_tokens: int = 0
+
+
 @dataclass(slots=True)
 class PlacementDecision:
     """Where a request would go now, and why.
@@ -110,6 +134,7 @@
     :ivar load_factor: highest load of a server, as a multiple of the mean load.
     :ivar router_count: number of routers that send to the same servers.
     :ivar usage: recent usage of each pool by workspaces.
+    :ivar costs: what requests cost, learned from responses.
     :ivar mean_service_s: mean time to a complete response in seconds, by pool.
     """
 
@@ -130,6 +155,7 @@
         self.router_count = 1
         self.usage: defaultdict[PoolName, RecentUsage] = defaultdict(make_recent_usage)
         self.mean_service_s: dict[PoolName, float] = {}
+        self.costs: CostEstimates = make_cost_estimates(read_clock)
 
     def get_mean_service_s(self, pool: PoolName) -> float:
         """Return the mean time to a complete response in a pool.
@@ -257,20 +283,21 @@
         :returns: what the request needs at each of them, by id.
         """
         is_heavy = self.usage[pool.name].is_heavy(request.workspace, now_s)
+        cost = self._predict_cost(request, pool)
         reservations = {}
         for record in records:
             server_id = record.server.server_id
             if not record.pause.allows_request(now_s):
                 decision.exclusions[server_id] = Exclusion.PAUSED
                 continue
-            reservation = self._plan_reservation(record, request, pool, homes, now_s)
+            reservation = self._plan_reservation(record, cost, pool, homes, now_s)
             if not self._has_capacity(record, reservation, request, pool, is_heavy):
                 decision.exclusions[server_id] = Exclusion.NO_ROOM
                 continue
             slowness = record.compute_slowness(now_s)
             if pool.engine is None:
                 slowness *= record.predict_work_time_ratio(now_s)
-            start_s = self._predict_start_s(reservation, pool) * slowness
+            start_s = self._predict_start_s(reservation, pool, cost) * slowness
             start_s += decision.penalties_s[server_id]
             is_near = record.server.availability_zone == self._zone
             reservations[server_id] = reservation
@@ -362,8 +389,9 @@
             return False
         if not homes or any(home.server.server_id in reservations for home in homes):
             return False
+        base_s = self.costs.get_coefficients(homes[0].server.pool).base_s
         allowed_s = compute_home_wait(
-            request.prompt.shared_tokens, request.route.target_s, ENGINE_BASE_LATENCY_S
+            request.prompt.shared_tokens, request.route.target_s, base_s
         )
         return self._read_clock() - request.received_s < allowed_s
 
@@ -434,27 +462,93 @@
             return False
         return record.total_requests < pool.engine.slots * capacity_share
 
+    def _predict_cost(self, request: IncomingRequest, pool: PoolLimits) -> _Cost:
+        if pool.engine is None:
+            mean_s = self.get_mean_service_s(pool.name)
+            if not self.costs.differs(pool.name):
+                return _Cost(mean_s, False)
+            return _Cost(self.costs.predict_service_s(request, pool.name, mean_s), True)
+        coefficients = self.costs.get_coefficients(pool.name)
+        if request.prompt is None:
+            return _Cost(self.get_mean_service_s(pool.name), False)
+        output_tokens = self.costs.predict_output_tokens(request)
+        return _Cost(0.0, True, request.prompt, coefficients, output_tokens)
+
     def _plan_reservation(
         self,
         record: ServerRecord,
-        request: IncomingRequest,
+        cost: _Cost,
         pool: PoolLimits,
         homes: list[ServerRecord],
         now_s: float,
     ) -> Reservation:
-        if request.prompt is None or pool.engine is None:
-            return Reservation(record, 0, 0, self.get_mean_service_s(pool.name))
+        if cost.prompt is None:
+            return Reservation(record, 0, 0, cost.service_s)
         others = self._servers.list_ready(pool.name)
         return plan_reservation(
-            record, request.prompt, pool.engine, homes, others, now_s
+            record,
+            cost.prompt,
+            pool.engine,
+            homes,
+            others,
+            now_s,
+            cost.coefficients,
+            cost.output_tokens,
         )
 
-    def _predict_start_s(self, reservation: Reservation, pool: PoolLimits) -> float:
+    def _predict_start_s(
+        self, reservation: Reservation, pool: PoolLimits, cost: _Cost
+    ) -> float:
         if pool.engine is not None:
             return predict_engine_start_s(reservation)
         record = reservation.record
-        requests_per_slot = (record.total_requests + 1) / max(record.server.slots, 1)
-        return requests_per_slot * self.get_mean_service_s(pool.name)
+        slots = max(record.server.slots, 1)
+        mean_s = self.get_mean_service_s(pool.name)
+        if not cost.differs:
+            return (record.total_requests + 1) / slots * mean_s
+        return (predict_remaining_s(record, mean_s) + cost.service_s) / slots
+
+    def count_work(
+        self, reservation: Reservation, request: IncomingRequest, pool: PoolLimits
+    ) -> None:
+        """Count the work of a request at the server that is reserved for it.
+
+        :param reservation: the reservation.
+        :param request: the request.
+        :param pool: pool that serves it.
+        """
+        record = reservation.record
+        if pool.engine is None or request.prompt is None:
+            reservation.begin_work(reservation.expected_s, 0.0, None)
+            return
+        coefficients = self.costs.get_coefficients(pool.name)
+        read_s = compute_work_s(coefficients, reservation.prompt_tokens, 0)
+        reservation.begin_work(
+            read_s + compute_work_s(coefficients, 0, reservation.output_tokens),
+            read_s,
+            StartTerms(
+                reservation.prompt_tokens,
+                record.prompt_tokens + record.peer_load.prompt_tokens,
+                record.total_requests,
+                reservation.copied_s,
+            ),
+        )
+
+
+def predict_remaining_s(record: ServerRecord, mean_s: float) -> float:
+    """Return the work that a plain server still has to do, in seconds.
+
+    The other routers' work is what they reported for each request, times the requests
+    that the server's own statements show.
+
+    :param record: record of the server.
+    :param mean_s: mean time of a request, for those whose work nobody reported.
+    """
+    peers = record.peer_load
+    each_s = mean_s
+    if record.peer_reported_requests > 0 and peers.work_s > 0:
+        each_s = peers.work_s / record.peer_reported_requests
+    return record.work_s + peers.requests * each_s
 
 
 def _has_credit(
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -73,6 +73,7 @@
 SUSPECT_RETRY_DELAY_S = 0.3
 # Another router can serve a request at once that this one refuses before its stop.
 LEAVING_RETRY_AFTER_S = 0.05
+EVENT_SEPARATOR = b"\n\n"
 _SUCCESS = None
 
 
@@ -461,9 +462,12 @@
                 return head
             record.record_response(attempt, loop.time())
             if not head.pause_s:
+                start_s = loop.time() - attempt.sent_s
                 record.record_response_time(
-                    loop.time() - attempt.sent_s, reservation.expected_s, loop.time()
+                    start_s, reservation.expected_s, loop.time()
                 )
+                if head.is_success:
+                    self._dispatcher.record_start(request, reservation, start_s)
             refusal = self._check_head(head, request, attempt, progress)
             if refusal is not None and not (
                 # The server's own failure is an answer unless there is a better one.
@@ -485,6 +489,10 @@
             if failure is None:
                 record.record_success()
                 taken_s = loop.time() - attempt.sent_s
+                if head.is_success:
+                    self._dispatcher.record_answer(
+                        request, reservation, progress, taken_s
+                    )
             else:
                 record.record_failure(failure.reason, loop.time())
             return failure
@@ -608,6 +616,7 @@
                 return _SUCCESS
             reservation.mark_prefill_done()
             events = splitter.feed(chunk)
+            progress.event_count += events.count(EVENT_SEPARATOR)
             if splitter.is_continuation_wrong:
                 reason = f"its stream does not go on after event {splitter.last_id}"
                 return make_failure(ErrorKind.BACKEND_FAILED, reason)
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -5,22 +5,16 @@
 
 from bilberryspring.capability.routing import EngineLimits, Prompt
 from bilberryspring.policy.direct_placement import rank_homes
+from bilberryspring.policy.request_cost import StartCoefficients, StartTerms
 from bilberryspring.process.server_table import ServerRecord
 
 __all__ = [
-    "ENGINE_BASE_LATENCY_S",
     "Reservation",
     "plan_reservation",
     "predict_engine_start_s",
     "rank_home_engines",
 ]
 
-# Prefill rate and fixed latency of a typical engine. The measured slowness of each
-# server scales the estimates that use them.
-PREFILL_TOKENS_PER_S = 140_000.0
-ENGINE_BASE_LATENCY_S = 0.06
-# Each running request delays a new one by about a tenth of a prefill chunk.
-DELAY_PER_REQUEST_S = 0.002
 # Copying a token's KV cache between engines takes about half its prefill time.
 CACHE_TRANSFER_TOKENS_PER_S = 250_000.0
 CACHE_TRANSFER_START_S = 0.003
@@ -42,9 +36,16 @@
         for a plain service.
     :param expected_s: predicted time to the first part of the response, on a server of
         typical speed.
+    :param copied_s: part of ``expected_s`` that a copy of missing parts takes.
     :param missing_prefix_s: part of ``expected_s`` that is spent on shared prompt parts
         which the server lacks.
     :param fetch_from: engine to copy the missing parts from, ``None`` to prefill them.
+    :param output_tokens: tokens that the response is predicted to have.
+    :param work_s: work that the request still is for the server, in seconds; counted in
+        the record of the server.
+    :param read_work_s: part of ``work_s`` that ends when the response begins.
+    :param start_terms: what the engine had to do before the response when the capacity
+        was reserved; ``None`` for a plain service.
     :param is_prefill_done: whether the response has begun, so that ``prompt_tokens`` no
         longer count as pending on the server.
     :param trial: return of the server after a pause that the request belongs to;
@@ -67,7 +68,12 @@
     held_tokens: int
     expected_s: float
     missing_prefix_s: float = 0.0
+    copied_s: float = 0.0
     fetch_from: ServerRecord | None = None
+    output_tokens: int = 0
+    work_s: float = 0.0
+    read_work_s: float = 0.0
+    start_terms: StartTerms | None = None
     is_prefill_done: bool = False
     trial: int | None = None
     paused_servers: str = ""
@@ -82,6 +88,29 @@
         if not self.is_prefill_done:
             self.is_prefill_done = True
             self.record.prompt_tokens -= self.prompt_tokens
+            self._end_work(self.read_work_s)
+
+    def begin_work(
+        self, work_s: float, read_work_s: float, terms: StartTerms | None
+    ) -> None:
+        """Count the work of the request at the server.
+
+        :param work_s: work in seconds.
+        :param read_work_s: part of it that ends when the response begins.
+        :param terms: what the engine has to do before the response; ``None`` for a
+            plain service.
+        """
+        self.work_s, self.read_work_s, self.start_terms = work_s, read_work_s, terms
+        self.record.work_s += work_s
+
+    def end_work(self) -> None:
+        """Count the work of the request as done."""
+        self._end_work(self.work_s)
+
+    def _end_work(self, done_s: float) -> None:
+        done_s = min(done_s, self.work_s)
+        self.work_s -= done_s
+        self.record.work_s = max(self.record.work_s - done_s, 0.0)
 
     def settle_trial(self, *, is_accepted: bool) -> None:
         """Record the first answer to the request, or its end without one.
@@ -100,6 +129,8 @@
     homes: Sequence[ServerRecord],
     others: Sequence[ServerRecord],
     now_s: float,
+    coefficients: StartCoefficients,
+    output_tokens: int,
 ) -> Reservation:
     """Estimate what a request needs on an engine.
 
@@ -109,6 +140,8 @@
     :param homes: home engines of the prompt's shared parts, the preferred one first.
     :param others: engines of the pool that accept new work.
     :param now_s: monotonic time.
+    :param coefficients: coefficients of the pool's engines.
+    :param output_tokens: tokens that the response is predicted to have.
     :returns: the reservation; nothing is counted on the engine yet.
     """
     shared = prompt.shared_tokens
@@ -126,14 +159,25 @@
         )
         prefill_tokens = own_tokens
     else:
-        missing_s = missing_tokens / PREFILL_TOKENS_PER_S
+        missing_s = missing_tokens * coefficients.read_s
         prefill_tokens = own_tokens + missing_tokens
-    held_tokens = prompt.input_tokens + (
-        prompt.hinted_output_tokens or prompt.output_tokens
+    expected_s = (
+        coefficients.base_s
+        + own_tokens * coefficients.read_s
+        + missing_s
+        + (record.prompt_tokens + record.peer_load.prompt_tokens)
+        * coefficients.pending_s
+        + record.total_requests * coefficients.running_s
     )
-    expected_s = ENGINE_BASE_LATENCY_S + own_tokens / PREFILL_TOKENS_PER_S + missing_s
     return Reservation(
-        record, prefill_tokens, held_tokens, expected_s, missing_s, source
+        record,
+        prefill_tokens,
+        prompt.input_tokens + output_tokens,
+        expected_s,
+        missing_s,
+        0.0 if source is None else missing_s,
+        source,
+        output_tokens,
     )
 
 
@@ -171,13 +215,8 @@
     :returns: seconds, weighted for choosing an engine: the time for parts that the
         engine lacks also counts the delay of the other requests there.
     """
-    record = reservation.record
-    pending_tokens = record.prompt_tokens + record.peer_load.prompt_tokens
-    return (
-        reservation.expected_s
-        + reservation.missing_prefix_s * (MISSING_PREFIX_WEIGHT - 1.0)
-        + pending_tokens / PREFILL_TOKENS_PER_S
-        + record.total_requests * DELAY_PER_REQUEST_S
+    return reservation.expected_s + reservation.missing_prefix_s * (
+        MISSING_PREFIX_WEIGHT - 1.0
     )
 
 
--- a/bilberryspring/request/response_progress.py
+++ b/bilberryspring/request/response_progress.py
@@ -49,6 +49,7 @@
         response, in seconds; ``None`` before it.
     :param status: HTTP status code sent to the caller; zero before it.
     :param contents: contents of the request that may crash servers.
+    :param event_count: events of a stream that arrived from the current server.
     :param is_proven: whether the server of the current try has begun to answer and has
         not crashed.
     """
@@ -61,12 +62,13 @@
     time_to_first_byte_s: float | None = None
     status: int = 0
     contents: tuple[Content, ...] = ()
+    event_count: int = 0
     is_proven: bool = False
     _first_event_s: float | None = field(default=None, init=False)
 
     def begin_try(self) -> None:
         """Record that the request is sent to a server."""
-        self._first_event_s, self.is_proven = None, False
+        self._first_event_s, self.is_proven, self.event_count = None, False, 0
 
     def record_events(self, now_s: float) -> bool:
         """Record that complete events of a stream arrived from the current server.
