--- a/bilberryspring/policy/direct_admission.py
+++ b/bilberryspring/policy/direct_admission.py
@@ -5,6 +5,10 @@
 queue is long although each router's queue is short; without a bound, nearly all
 responses miss their latency target. In addition, requests that need much memory fill
 the engines and block short urgent requests.
+
+Where callers allow far more time than their latency target, a request that a burst
+leaves no room for is deferred instead of refused: it waits behind all others until the
+load falls, as long as the caller, if refused then, still has the time for another try.
 """
 
 import math
@@ -12,7 +16,9 @@
 
 __all__ = [
     "QueueView",
+    "compute_deferral",
     "compute_max_wait",
+    "compute_release_chance",
     "compute_router_limit",
     "compute_capacity_share",
     "predict_wait",
@@ -30,6 +36,13 @@
 # Where the response time alone exceeds the latency target, a request may wait this
 # fraction of the target.
 MIN_WAIT_TARGET_SHARE = 0.1
+# Share of the time that a caller has left which a deferred request may wait. The rest
+# is for another try after a refusal.
+DEFERRAL_SHARE = 1 / 3
+# Requests are deferred only if this wait is long enough for a burst to end, as a
+# multiple of the latency target.
+MIN_DEFERRAL_TARGETS = 2.0
+MIN_DEFERRAL_ADMITTED_SHARE = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +117,59 @@
     return min(target_limit_s, view.remaining_s - view.service_s)
 
 
+def compute_deferral(
+    view: QueueView,
+    admitted_share: float,
+    released_per_s: float = 0.0,
+    has_expired: bool = False,
+) -> float:
+    """Return how long a request may wait that is not admitted now.
+
+    In a flood that lasts, the request would wait in vain. The share of requests that
+    are admitted shows how far the demand exceeds the capacity.
+
+    :param view: state of the queue, with ``queued_ahead`` of all requests in it.
+    :param admitted_share: share of the requests that the routers admit to the pool.
+    :param released_per_s: rate at which this router sent deferred requests recently.
+    :param has_expired: whether one waited in vain recently.
+    :returns: longest wait in seconds; zero if the request should be refused at once:
+        its caller allows little more than the latency target, or it would probably be
+        refused later.
+
+    >>> burst = QueueView(0, 3, 18, 39, 0.09, 0.09, 0.418, 4.2)
+    >>> round(compute_deferral(burst, 0.5), 6)
+    1.4
+    >>> compute_deferral(burst, 0.5, has_expired=True)
+    0.0
+    """
+    allowed_s = min(
+        view.remaining_s * DEFERRAL_SHARE, view.remaining_s - view.service_s
+    )
+    if allowed_s < MIN_DEFERRAL_TARGETS * view.target_s:
+        return 0.0
+    wait_s = predict_wait(view) / max(admitted_share, MIN_DEFERRAL_ADMITTED_SHARE)
+    # Until others show how fast such requests are sent, a single one tries.
+    if released_per_s > 0.0:
+        wait_s = max(wait_s, (view.queued_ahead + 1) / released_per_s)
+    elif has_expired or view.queued_ahead:
+        return 0.0
+    return allowed_s if wait_s <= allowed_s else 0.0
+
+
+def compute_release_chance(free_requests: float, router_count: int) -> float:
+    """Return the chance with which a router sends a deferred request now.
+
+    Routers see at the same time that the load has fallen.
+
+    :param free_requests: requests that the pool takes before it is overloaded.
+    :param router_count: number of routers that share the pool.
+
+    >>> compute_release_chance(10, 20), compute_release_chance(-1, 20)
+    (0.5, 0.0)
+    """
+    return min(max(free_requests / max(router_count, 1), 0.0), 1.0)
+
+
 def compute_capacity_share(rank_order: int) -> float:
     """Return the fraction of an engine's slots and memory that a rank may use.
 
--- a/bilberryspring/policy/shedding.py
+++ b/bilberryspring/policy/shedding.py
@@ -13,6 +13,7 @@
 __all__ = [
     "MIN_ADMITTED_SHARE",
     "adjust_admitted_share",
+    "compute_free_requests",
     "compute_shedding_position",
 ]
 
@@ -49,8 +50,7 @@
     >>> 0.6 < adjust_admitted_share(1.0, 3.4, 0.25) < 0.7
     True
     """
-    target = TARGET_REQUESTS_PER_ENGINE_SLOT if is_engine else TARGET_REQUESTS_PER_SLOT
-    excess = requests_per_slot / target - 1
+    excess = requests_per_slot / _find_target(is_engine) - 1
     if excess > 0:
         share *= math.exp(-MAX_SHARE_FALL_PER_S * min(excess, 1.0) * elapsed_s)
     else:
@@ -58,6 +58,26 @@
     return min(max(share, MIN_ADMITTED_SHARE), 1.0)
 
 
+def compute_free_requests(
+    requests: float, slots: float, is_engine: bool = False
+) -> float:
+    """Return how many more requests a pool takes before requests are shed.
+
+    :param requests: requests that the pool's servers run and queue.
+    :param slots: number of requests that they run concurrently.
+    :param is_engine: whether the servers are engines.
+    :returns: number of requests; negative while requests are shed.
+
+    >>> compute_free_requests(7.0, 10.0)
+    10.0
+    """
+    return slots * _find_target(is_engine) - requests
+
+
+def _find_target(is_engine: bool) -> float:
+    return TARGET_REQUESTS_PER_ENGINE_SLOT if is_engine else TARGET_REQUESTS_PER_SLOT
+
+
 def compute_shedding_position(
     more_urgent_share: float, own_share: float, draw: float
 ) -> float:
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -16,13 +16,16 @@
 from bilberryspring.identifiers import AvailabilityZone, PoolName
 from bilberryspring.policy.direct_admission import (
     QueueView,
+    compute_deferral,
     compute_max_wait,
+    compute_release_chance,
     predict_wait,
 )
 from bilberryspring.policy.direct_placement import (
     DEFAULT_DIRECT_PLACEMENT_POLICY,
     draw_uniform,
 )
+from bilberryspring.policy.shedding import compute_free_requests
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.credit_exchange import (
     CreditExchange,
@@ -33,7 +36,12 @@
 from bilberryspring.process.server_table import ServerRecord, ServerTable
 from bilberryspring.request.decaying_sum import DecayingSum
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
-from bilberryspring.request.load_shedding import LoadShedder, make_load_shedder
+from bilberryspring.request.load_shedding import (
+    Deferrals,
+    LoadShedder,
+    make_deferrals,
+    make_load_shedder,
+)
 from bilberryspring.request.placement_decision import (
     INITIAL_SERVICE_TIME_S,
     MIN_RETRY_AFTER_S,
@@ -57,6 +65,8 @@
 MAX_QUESTIONS = 2
 # Time over which the requests to servers that limit their rate are averaged.
 LIMITED_RATE_TIME_S = 4.0
+# Added to the rank of deferred requests, so that they come after all others.
+DEFERRED_RANK_OFFSET = 1_000
 # Waiting requests that are tried at a time; the others wait behind these.
 MAX_DISPATCH_SCAN = 8
 
@@ -67,6 +77,7 @@
     request: IncomingRequest = field(compare=False)
     pool: PoolLimits = field(compare=False)
     result: "asyncio.Future[Reservation | Failure]" = field(compare=False)
+    is_deferred: bool = field(default=False, compare=False)
 
 
 class Dispatcher:
@@ -105,6 +116,7 @@
         self._sequence_numbers = itertools.count()
         self._mean_service_s = self._planner.mean_service_s
         self.costs = self._planner.costs
+        self._deferrals: defaultdict[PoolName, Deferrals] = defaultdict(make_deferrals)
         self._shedders: defaultdict[PoolName, LoadShedder] = defaultdict(
             make_load_shedder
         )
@@ -143,7 +155,7 @@
         priority_key = self._make_priority_key(request, pool)
         refusal = self._shed_load(request, pool, priority_key)
         if refusal is not None:
-            return refusal
+            return await self._defer(request, pool, priority_key, must_end_s, refusal)
         if queue and pool.engine is not None:
             # Requests that wait for their home engines don't hold up others, but those
             # that wait for any engine come first.
@@ -162,7 +174,7 @@
             request, pool, priority_key, must_end_s, min_wait_s
         )
         if refusal is not None:
-            return refusal
+            return await self._defer(request, pool, priority_key, must_end_s, refusal)
         waiting = _WaitingRequest(
             (*priority_key, next(self._sequence_numbers)),
             request,
@@ -188,6 +200,58 @@
                 self._discard_waiting(waiting, queue)
         return found
 
+    async def _defer(
+        self,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        priority_key: tuple[int, int, bool],
+        must_end_s: float,
+        refusal: Failure,
+    ) -> Reservation | Failure:
+        """Wait behind all other requests for capacity that a burst leaves none of.
+
+        :param refusal: why the request is not admitted now.
+        :returns: the reservation, or the refusal if no capacity becomes free in time.
+        """
+        queue = self._waiting[pool.name]
+        shedder, deferrals = self._shedders[pool.name], self._deferrals[pool.name]
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        rank, route_rank, is_heavy = priority_key
+        key = (rank + DEFERRED_RANK_OFFSET, route_rank, is_heavy)
+        view = self._view_queue(request, pool, key, must_end_s)
+        wait_s = 0.0
+        if pool.engine is None and view.pool_slots and not request.tried_server_ids:
+            wait_s = compute_deferral(
+                view,
+                shedder.admitted_share,
+                deferrals.get_released_per_s(now_s),
+                deferrals.has_expired(now_s),
+            )
+        if wait_s <= 0.0:
+            return refusal
+        waiting = _WaitingRequest(
+            (*key, next(self._sequence_numbers)),
+            request,
+            pool,
+            loop.create_future(),
+            is_deferred=True,
+        )
+        heapq.heappush(queue, waiting)
+        self._schedule_redispatch(pool.name)
+        found = None
+        try:
+            async with asyncio.timeout(wait_s):
+                found = await waiting.result
+            deferrals.record(is_released=True, now_s=loop.time())
+        except TimeoutError:
+            deferrals.record(is_released=False, now_s=loop.time())
+            return refusal
+        finally:
+            if found is None:
+                self._discard_waiting(waiting, queue)
+        return found
+
     def acquire_now(
         self, request: IncomingRequest, pool: PoolLimits, allows_avoided: bool = False
     ) -> Reservation | Failure:
@@ -301,6 +365,8 @@
         for waiting in heapq.nsmallest(MAX_DISPATCH_SCAN, queue):
             if waiting.result.done():
                 continue
+            if waiting.is_deferred and not self._may_release(waiting.pool):
+                break
             found = self._try_reserve(waiting.request, waiting.pool)
             if isinstance(found, Failure) and found.kind is not ErrorKind.NO_INSTANCE:
                 if waiting.pool.engine is None and not waiting.request.tried_server_ids:
@@ -318,6 +384,33 @@
             queue[:] = open_requests
             heapq.heapify(queue)
 
+    def _may_release(self, pool: PoolLimits) -> bool:
+        """Draw whether a deferred request of a pool may be sent now.
+
+        It gets only capacity that requests which can be in time leave.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._adjust_share(pool, now_s).admitted_share < 1.0:
+            return False
+        free_requests = compute_free_requests(*self._sum_load(pool))
+        chance = compute_release_chance(free_requests, self.router_count)
+        return random.random() < chance
+
+    def _adjust_share(self, pool: PoolLimits, now_s: float) -> LoadShedder:
+        """Adjust the share of requests that are admitted to a pool to its load."""
+        shedder = self._shedders[pool.name]
+        if shedder.is_due(now_s):
+            requests, slots = self._sum_load(pool)
+            is_engine = pool.engine is not None
+            shedder.adjust(requests / max(slots, 1), now_s, is_engine)
+        return shedder
+
+    def _sum_load(self, pool: PoolLimits) -> tuple[float, float]:
+        """Return the requests at the servers that want some, and their usable slots."""
+        accepting = self._list_accepting(pool.name)
+        slots = sum(self._count_usable_slots(record, pool) for record in accepting)
+        return sum(record.total_requests for record in accepting), slots
+
     def _schedule_redispatch(self, pool: PoolName) -> None:
         if pool not in self._redispatches:
             self._redispatches[pool] = asyncio.get_running_loop().call_later(
@@ -398,14 +491,8 @@
         """Refuse a request beyond the share that the routers admit to its pool."""
         if request.tried_server_ids:
             return None
-        shedder = self._shedders[pool.name]
         now_s = asyncio.get_running_loop().time()
-        if shedder.is_due(now_s):
-            accepting = self._list_accepting(pool.name)
-            slots = sum(self._count_usable_slots(record, pool) for record in accepting)
-            requests = sum(record.total_requests for record in accepting)
-            is_engine = pool.engine is not None
-            shedder.adjust(requests / max(slots, 1), now_s, is_engine)
+        shedder = self._adjust_share(pool, now_s)
         draw = draw_uniform(request.request_id, pool.name)
         if shedder.admits(priority_key, draw, now_s):
             return None
--- a/bilberryspring/request/load_shedding.py
+++ b/bilberryspring/request/load_shedding.py
@@ -6,13 +6,17 @@
 )
 from bilberryspring.request.decaying_sum import DecayingSum
 
-__all__ = ["LoadShedder", "make_load_shedder"]
+__all__ = ["Deferrals", "LoadShedder", "make_deferrals", "make_load_shedder"]
 
 # Load reports of routers and statements of servers arrive about as often.
 ADJUSTMENT_INTERVAL_S = 0.25
 # After a longer time without requests, the share doesn't follow from the load before.
 MAX_ELAPSED_S = 1.0
 MIX_TIME_CONSTANT_S = 5.0
+# Time over which the deferred requests that were sent are averaged, and for which one
+# that waited in vain counts against others.
+DEFERRAL_TIME_S = 2.0
+MIN_EXPIRED = 0.2
 
 PriorityKey = tuple[int, int, bool]
 
@@ -76,6 +80,46 @@
         return position < self.admitted_share
 
 
+class Deferrals:
+    """Deferred requests of one pool: what recently became of them."""
+
+    def __init__(self) -> None:
+        self._released = DecayingSum(DEFERRAL_TIME_S)
+        self._expired = DecayingSum(DEFERRAL_TIME_S)
+
+    def record(self, *, is_released: bool, now_s: float) -> None:
+        """Record the end of a deferral.
+
+        :param is_released: whether the request was sent, or else waited in vain.
+        :param now_s: monotonic time.
+        """
+        (self._released if is_released else self._expired).add(1.0, now_s)
+
+    def get_released_per_s(self, now_s: float) -> float:
+        """Return the recent rate at which deferred requests were sent.
+
+        :param now_s: monotonic time.
+        """
+        return self._released.rate(now_s)
+
+    def has_expired(self, now_s: float) -> bool:
+        """Return whether a deferred request waited in vain recently.
+
+        :param now_s: monotonic time.
+
+        >>> deferrals = make_deferrals()
+        >>> deferrals.record(is_released=False, now_s=0.0)
+        >>> deferrals.has_expired(0.0), deferrals.has_expired(10.0)
+        (True, False)
+        """
+        return self._expired.value(now_s) >= MIN_EXPIRED
+
+
+def make_deferrals() -> Deferrals:
+    """Return the deferrals of a pool that had none."""
+    return Deferrals()
+
+
 def make_load_shedder() -> LoadShedder:
     """Return a shedder that admits every request.
 
