--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -191,6 +191,12 @@
                 "Servers that limit the rate of requests",
                 self._servers.limits.count_limited,
             ),
+            "cost_error_factor": (
+                "Error that nine of ten predictions of a route's cost stay within",
+                self._dispatcher.costs.list_errors,
+                "quantity",
+                "route",
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
--- a/bilberryspring/policy/direct_admission.py
+++ b/bilberryspring/policy/direct_admission.py
@@ -41,7 +41,7 @@
 DEFERRAL_SHARE = 1 / 3
 # Requests are deferred only if this wait is long enough for a burst to end, as a
 # multiple of the latency target.
-MIN_DEFERRAL_TARGETS = 2.0
+MIN_DEFERRAL_TARGETS = 1.5
 MIN_DEFERRAL_ADMITTED_SHARE = 0.05
 
 
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -52,7 +52,6 @@
     make_placement_planner,
 )
 from bilberryspring.request.reservations import Reservation
-from bilberryspring.request.response_progress import ResponseProgress
 
 __all__ = ["Dispatcher", "make_dispatcher"]
 
@@ -333,22 +332,23 @@
         self,
         request: IncomingRequest,
         reservation: Reservation,
-        progress: ResponseProgress,
+        pool: PoolLimits,
+        event_count: int,
         taken_s: float,
     ) -> None:
         """Learn from a complete response.
 
         :param request: the request.
         :param reservation: its reservation.
-        :param progress: progress of the response.
+        :param pool: pool that served it.
+        :param event_count: events of a streamed response.
         :param taken_s: time from sending the request, in seconds.
         """
-        pool = progress.pool
         if pool.engine is None:
             mean_s = self.get_mean_service_s(pool.name)
             self.costs.record_service(request, pool.name, mean_s, taken_s)
         elif request.prompt is not None and request.resume_after is None:
-            output_tokens = progress.event_count * pool.engine.chunk_tokens
+            output_tokens = event_count * pool.engine.chunk_tokens
             self.costs.record_output(request, output_tokens)
 
     def dispatch_waiting(self, pool: PoolName) -> None:
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -491,7 +491,11 @@
                 taken_s = loop.time() - attempt.sent_s
                 if head.is_success:
                     self._dispatcher.record_answer(
-                        request, reservation, progress, taken_s
+                        request,
+                        reservation,
+                        progress.pool,
+                        progress.event_count,
+                        taken_s,
                     )
             else:
                 record.record_failure(failure.reason, loop.time())
