--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -59,7 +59,6 @@
   promptTokens @2 :UInt32;
   heldTokens @3 :UInt32;
   isSuspected @4 :Bool;
-  workMs @5 :UInt32;
 }
 
 struct Snapshot {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -61,8 +61,6 @@
     :param held_tokens: number of tokens that the requests occupy in the server's
         memory.
     :param is_suspected: whether the router suspects a failure and avoids the server.
-    :param work_ms: work that the server still has to do for these requests, in
-        milliseconds.
     """
 
     server: NameHash
@@ -70,7 +68,6 @@
     prompt_tokens: int
     held_tokens: int
     is_suspected: bool = False
-    work_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +217,6 @@
                 "promptTokens": min(load.prompt_tokens, 0xFFFF_FFFF),
                 "heldTokens": min(load.held_tokens, 0xFFFF_FFFF),
                 "isSuspected": load.is_suspected,
-                "workMs": min(load.work_ms, 0xFFFF_FFFF),
             }
             for load in report.loads[: MAX_LOADS - len(leavings) - len(limits)]
         ],
@@ -313,7 +309,6 @@
                     load.promptTokens,
                     load.heldTokens,
                     load.isSuspected,
-                    load.workMs,
                 )
                 for load in message.loads
             ),
--- a/bilberryspring/policy/request_cost.py
+++ b/bilberryspring/policy/request_cost.py
@@ -18,7 +18,6 @@
     "StartTerms",
     "clip_error",
     "compute_quantile",
-    "compute_work_s",
     "correct_start",
     "decay_correction",
     "learn_correction",
@@ -30,8 +29,6 @@
 LEARNING_RATE = 0.1
 # Errors beyond this factor are failures or stalls rather than costs.
 MAX_LOG_ERROR = 1.0
-# Tokens that an engine makes for each request while another one begins, a guess.
-OUTPUT_TOKENS_PER_START = 10.0
 # Bounds of a coefficient as multiples of its initial guess.
 MAX_COEFFICIENT_FACTOR = 20.0
 # Bound of a correction by route, workspace or server: callers' hints are wrong by a
@@ -169,26 +166,6 @@
     return log_correction * 0.5 ** (max(age_s, 0.0) / CORRECTION_HALF_LIFE_S)
 
 
-def compute_work_s(
-    coefficients: StartCoefficients, read_tokens: float, output_tokens: float
-) -> float:
-    """Return the engine time that a request still needs, in seconds.
-
-    Reading holds up the other requests of an engine; tokens are made for all of them in
-    the same steps, so that one more request lengthens each step only a little.
-
-    :param coefficients: coefficients of the pool.
-    :param read_tokens: prompt tokens that are still to read.
-    :param output_tokens: tokens that are still to make.
-
-    >>> compute_work_s(StartCoefficients(0.06, 1e-5, 1e-5, 0.002), 1_000, 50)
-    0.02
-    """
-    # A request that runs delays the first event of another by running_s.
-    output_s = coefficients.running_s * output_tokens / OUTPUT_TOKENS_PER_START
-    return coefficients.pending_s * read_tokens + output_s
-
-
 def compute_quantile(values: Sequence[float], quantile: float) -> float:
     """Return a quantile of some values, zero if there are none.
 
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -328,7 +328,6 @@
                 max(record.prompt_tokens, 0),
                 max(record.held_tokens, 0),
                 record.is_suspected_locally(now_s),
-                round(record.work_s * 1000),
             )
             for server_id, record in self._servers.records.items()
             if record.requests or record.is_suspected_locally(now_s)
@@ -405,11 +404,10 @@
         sums: dict[NameHash, list[float]] = {}
         for view in recent:
             for load in view.report.loads:
-                total = sums.setdefault(load.server, [0.0, 0.0, 0.0, 0.0])
+                total = sums.setdefault(load.server, [0.0, 0.0, 0.0])
                 total[0] += load.requests
                 total[1] += load.prompt_tokens
                 total[2] += load.held_tokens
-                total[3] += load.work_ms / 1000
                 if (
                     load.is_suspected
                     and now_s - view.report_received_s <= 2 * REPORT_INTERVAL_S
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -69,13 +69,11 @@
     :param requests: their requests in flight there.
     :param prompt_tokens: prompt tokens that the server has not read yet.
     :param held_tokens: tokens that their requests occupy in the server's KV cache.
-    :param work_s: work of their requests that the server still has to do, in seconds.
     """
 
     requests: float = 0.0
     prompt_tokens: float = 0.0
     held_tokens: float = 0.0
-    work_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +97,6 @@
     :param requests: requests of this router that are in flight there.
     :param prompt_tokens: prompt tokens of these requests that it has not read yet.
     :param held_tokens: tokens of these requests in its KV cache, read and generated.
-    :param work_s: work of these requests that it still has to do, in seconds.
     :param peer_load: load of the other routers, estimated from their reports and the
         server's statements.
     :param peer_reported_requests: requests in flight of the other routers, by their
@@ -131,7 +128,6 @@
     requests: int = 0
     prompt_tokens: int = 0
     held_tokens: int = 0
-    work_s: float = 0.0
     peer_load: PeerLoad = field(default_factory=PeerLoad)
     peer_reported_requests: float = 0.0
     own_requests_at_report: int = 0
--- a/bilberryspring/request/cost_estimates.py
+++ b/bilberryspring/request/cost_estimates.py
@@ -29,9 +29,6 @@
 ERROR_QUANTILE = 0.9
 # How often the errors are logged.
 ERROR_LOG_INTERVAL_S = 10.0
-# A pool's kinds differ in cost if a correction is beyond this factor.
-MIN_COST_SPREAD = 1.5
-SPREAD_CHECK_INTERVAL_S = 1.0
 
 
 class Quantity(Enum):
@@ -55,8 +52,6 @@
         self._corrections: OrderedDict[Hashable, tuple[float, float]] = OrderedDict()
         self._errors: OrderedDict[tuple[str, str], deque[float]] = OrderedDict()
         self._logged_s = -math.inf
-        # Whether requests differ in cost, and when that was checked, by pool.
-        self._differing: dict[PoolName, tuple[bool, float]] = {}
 
     def get_coefficients(self, pool: PoolName) -> StartCoefficients:
         """Return the coefficients of a pool of engines, guesses until a response came.
@@ -136,25 +131,6 @@
         self._record_error(Quantity.SERVICE, request, predicted_s, taken_s)
         self._learn(_list_service_keys(request, pool), predicted_s, taken_s)
 
-    def differs(self, pool: PoolName) -> bool:
-        """Return whether requests of a pool of plain services differ in cost.
-
-        :param pool: name of the pool.
-        """
-        differs, checked_s = self._differing.get(pool, (False, -math.inf))
-        if self._clock() - checked_s < SPREAD_CHECK_INTERVAL_S:
-            return differs
-        corrections = [
-            self._read_correction(key)
-            for key in self._corrections
-            if key[0] is Quantity.SERVICE and key[1] == "route" and key[2] == pool
-        ]
-        differs = len(corrections) > 1 and (
-            max(corrections) - min(corrections) > math.log(MIN_COST_SPREAD)
-        )
-        self._differing[pool] = differs, self._clock()
-        return differs
-
     def list_errors(self) -> dict[tuple[str, str], float]:
         """Return the error that nine of ten predictions stay within, as a factor.
 
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -25,6 +25,7 @@
     DEFAULT_DIRECT_PLACEMENT_POLICY,
     draw_uniform,
 )
+from bilberryspring.policy.request_cost import StartTerms
 from bilberryspring.policy.shedding import compute_free_requests
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.credit_exchange import (
@@ -296,7 +297,6 @@
             ``None`` if there was none. It updates the pool's mean service time.
         """
         reservation.mark_prefill_done()
-        reservation.end_work()
         reservation.settle_trial(is_accepted=taken_s is not None)
         record = reservation.record
         record.change_requests(-1, asyncio.get_running_loop().time())
@@ -669,7 +669,13 @@
         )
         reservation.mean_requests = sum(r.total_requests for r in ready) / len(ready)
         reservation.servers_without_room = len(ready) - len(decision.candidates)
-        self._planner.count_work(reservation, request, pool)
+        if pool.engine is not None and request.prompt is not None:
+            reservation.start_terms = StartTerms(
+                reservation.prompt_tokens,
+                record.prompt_tokens + record.peer_load.prompt_tokens,
+                record.total_requests,
+                reservation.copied_s,
+            )
         record.change_requests(1, now_s)
         record.prompt_tokens += reservation.prompt_tokens
         record.held_tokens += reservation.held_tokens
--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -26,8 +26,6 @@
 from bilberryspring.policy.request_cost import (
     GUESSED_START_COEFFICIENTS,
     StartCoefficients,
-    StartTerms,
-    compute_work_s,
 )
 from bilberryspring.policy.server_eligibility import Exclusion
 from bilberryspring.process.credit_exchange import CreditExchange, CreditState
@@ -82,14 +80,12 @@
     """What a request costs at any server of its pool.
 
     :param service_s: predicted time at a plain server, in seconds.
-    :param differs: whether requests of the pool differ in cost.
     :param prompt: prompt of a request to an engine, ``None`` for others.
     :param coefficients: coefficients of the pool's engines.
     :param output_tokens: tokens that the response is predicted to have.
     """
 
     service_s: float
-    differs: bool
     prompt: Prompt | None = None
     coefficients: StartCoefficients = GUESSED_START_COEFFICIENTS
     output_tokens: int = 0
@@ -297,7 +293,7 @@
             slowness = record.compute_slowness(now_s)
             if pool.engine is None:
                 slowness *= record.predict_work_time_ratio(now_s)
-            start_s = self._predict_start_s(reservation, pool, cost) * slowness
+            start_s = self._predict_start_s(reservation, pool) * slowness
             start_s += decision.penalties_s[server_id]
             is_near = record.server.availability_zone == self._zone
             reservations[server_id] = reservation
@@ -463,16 +459,11 @@
         return record.total_requests < pool.engine.slots * capacity_share
 
     def _predict_cost(self, request: IncomingRequest, pool: PoolLimits) -> _Cost:
-        if pool.engine is None:
-            mean_s = self.get_mean_service_s(pool.name)
-            if not self.costs.differs(pool.name):
-                return _Cost(mean_s, False)
-            return _Cost(self.costs.predict_service_s(request, pool.name, mean_s), True)
+        if pool.engine is None or request.prompt is None:
+            return _Cost(self.get_mean_service_s(pool.name))
         coefficients = self.costs.get_coefficients(pool.name)
-        if request.prompt is None:
-            return _Cost(self.get_mean_service_s(pool.name), False)
         output_tokens = self.costs.predict_output_tokens(request)
-        return _Cost(0.0, True, request.prompt, coefficients, output_tokens)
+        return _Cost(0.0, request.prompt, coefficients, output_tokens)
 
     def _plan_reservation(
         self,
@@ -496,59 +487,12 @@
             cost.output_tokens,
         )
 
-    def _predict_start_s(
-        self, reservation: Reservation, pool: PoolLimits, cost: _Cost
-    ) -> float:
+    def _predict_start_s(self, reservation: Reservation, pool: PoolLimits) -> float:
         if pool.engine is not None:
             return predict_engine_start_s(reservation)
         record = reservation.record
-        slots = max(record.server.slots, 1)
-        mean_s = self.get_mean_service_s(pool.name)
-        if not cost.differs:
-            return (record.total_requests + 1) / slots * mean_s
-        return (predict_remaining_s(record, mean_s) + cost.service_s) / slots
-
-    def count_work(
-        self, reservation: Reservation, request: IncomingRequest, pool: PoolLimits
-    ) -> None:
-        """Count the work of a request at the server that is reserved for it.
-
-        :param reservation: the reservation.
-        :param request: the request.
-        :param pool: pool that serves it.
-        """
-        record = reservation.record
-        if pool.engine is None or request.prompt is None:
-            reservation.begin_work(reservation.expected_s, 0.0, None)
-            return
-        coefficients = self.costs.get_coefficients(pool.name)
-        read_s = compute_work_s(coefficients, reservation.prompt_tokens, 0)
-        reservation.begin_work(
-            read_s + compute_work_s(coefficients, 0, reservation.output_tokens),
-            read_s,
-            StartTerms(
-                reservation.prompt_tokens,
-                record.prompt_tokens + record.peer_load.prompt_tokens,
-                record.total_requests,
-                reservation.copied_s,
-            ),
-        )
-
-
-def predict_remaining_s(record: ServerRecord, mean_s: float) -> float:
-    """Return the work that a plain server still has to do, in seconds.
-
-    The other routers' work is what they reported for each request, times the requests
-    that the server's own statements show.
-
-    :param record: record of the server.
-    :param mean_s: mean time of a request, for those whose work nobody reported.
-    """
-    peers = record.peer_load
-    each_s = mean_s
-    if record.peer_reported_requests > 0 and peers.work_s > 0:
-        each_s = peers.work_s / record.peer_reported_requests
-    return record.work_s + peers.requests * each_s
+        requests_per_slot = (record.total_requests + 1) / max(record.server.slots, 1)
+        return requests_per_slot * self.get_mean_service_s(pool.name)
 
 
 def _has_credit(
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -41,9 +41,6 @@
         which the server lacks.
     :param fetch_from: engine to copy the missing parts from, ``None`` to prefill them.
     :param output_tokens: tokens that the response is predicted to have.
-    :param work_s: work that the request still is for the server, in seconds; counted in
-        the record of the server.
-    :param read_work_s: part of ``work_s`` that ends when the response begins.
     :param start_terms: what the engine had to do before the response when the capacity
         was reserved; ``None`` for a plain service.
     :param is_prefill_done: whether the response has begun, so that ``prompt_tokens`` no
@@ -71,8 +68,6 @@
     copied_s: float = 0.0
     fetch_from: ServerRecord | None = None
     output_tokens: int = 0
-    work_s: float = 0.0
-    read_work_s: float = 0.0
     start_terms: StartTerms | None = None
     is_prefill_done: bool = False
     trial: int | None = None
@@ -88,29 +83,6 @@
         if not self.is_prefill_done:
             self.is_prefill_done = True
             self.record.prompt_tokens -= self.prompt_tokens
-            self._end_work(self.read_work_s)
-
-    def begin_work(
-        self, work_s: float, read_work_s: float, terms: StartTerms | None
-    ) -> None:
-        """Count the work of the request at the server.
-
-        :param work_s: work in seconds.
-        :param read_work_s: part of it that ends when the response begins.
-        :param terms: what the engine has to do before the response; ``None`` for a
-            plain service.
-        """
-        self.work_s, self.read_work_s, self.start_terms = work_s, read_work_s, terms
-        self.record.work_s += work_s
-
-    def end_work(self) -> None:
-        """Count the work of the request as done."""
-        self._end_work(self.work_s)
-
-    def _end_work(self, done_s: float) -> None:
-        done_s = min(done_s, self.work_s)
-        self.work_s -= done_s
-        self.record.work_s = max(self.record.work_s - done_s, 0.0)
 
     def settle_trial(self, *, is_accepted: bool) -> None:
         """Record the first answer to the request, or its end without one.
