--- a/bilberryspring/policy/request_cost.py
+++ b/bilberryspring/policy/request_cost.py
@@ -22,13 +22,14 @@
     "decay_correction",
     "learn_correction",
     "predict_start_s",
+    "scale_coefficients",
 ]
 
-# Part of an observed error by which coefficients are corrected. Twenty observations
+# Part of an observed error by which coefficients are corrected. Ten observations
 # remove nine tenths of it, which is a few seconds of one router's requests.
-LEARNING_RATE = 0.1
-# Errors beyond this factor are failures or stalls rather than costs.
-MAX_LOG_ERROR = 1.0
+LEARNING_RATE = 0.2
+# Errors beyond this are stalls of a server rather than costs, so they count no further.
+MAX_LOG_ERROR = 0.5
 # Bounds of a coefficient as multiples of its initial guess.
 MAX_COEFFICIENT_FACTOR = 20.0
 # Bound of a correction by route, workspace or server: callers' hints are wrong by a
@@ -46,12 +47,15 @@
     :param read_s: time in seconds for each prompt token of the request that it reads.
     :param pending_s: time in seconds for each prompt token that it reads before.
     :param running_s: time in seconds for each request that it runs.
+    :param cached_s: time in seconds for each prompt token that is expected in its
+        cache, since some are not.
     """
 
     base_s: float
     read_s: float
     pending_s: float
     running_s: float
+    cached_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,17 +65,21 @@
     :param read_tokens: prompt tokens of the request that it has to read.
     :param pending_tokens: prompt tokens of other requests that it has not read yet.
     :param requests: requests that it runs.
+    :param cached_tokens: prompt tokens of the request that are expected in its cache.
     :param fixed_s: time in seconds that isn't learned, such as that of a copy.
     """
 
     read_tokens: float
     pending_tokens: float
     requests: float
+    cached_tokens: float = 0.0
     fixed_s: float = 0.0
 
 
 # Guesses from engines of a typical speed, in force until responses show better.
-GUESSED_START_COEFFICIENTS = StartCoefficients(0.06, 1 / 140_000, 1 / 140_000, 0.002)
+GUESSED_START_COEFFICIENTS = StartCoefficients(
+    0.03, 1 / 70_000, 1 / 140_000, 0.001, 1 / 1_000_000
+)
 
 
 def predict_start_s(coefficients: StartCoefficients, terms: StartTerms) -> float:
@@ -82,7 +90,7 @@
 
     >>> guess = GUESSED_START_COEFFICIENTS
     >>> round(predict_start_s(guess, StartTerms(14_000, 0, 5)), 3)
-    0.17
+    0.235
     """
     return sum(_compute_parts(coefficients, terms)) + terms.fixed_s
 
@@ -117,15 +125,39 @@
                     coefficients.read_s,
                     coefficients.pending_s,
                     coefficients.running_s,
+                    coefficients.cached_s,
                 ),
                 parts,
-                (guess.base_s, guess.read_s, guess.pending_s, guess.running_s),
+                (
+                    guess.base_s,
+                    guess.read_s,
+                    guess.pending_s,
+                    guess.running_s,
+                    guess.cached_s,
+                ),
                 strict=True,
             )
         )
     )
 
 
+def scale_coefficients(
+    coefficients: StartCoefficients, factor: float
+) -> StartCoefficients:
+    """Return coefficients times a correction.
+
+    :param coefficients: coefficients of a pool.
+    :param factor: correction of one kind of requests.
+    """
+    return StartCoefficients(
+        coefficients.base_s * factor,
+        coefficients.read_s * factor,
+        coefficients.pending_s * factor,
+        coefficients.running_s * factor,
+        coefficients.cached_s * factor,
+    )
+
+
 def clip_error(predicted: float, actual: float) -> float:
     """Return the logarithm of the actual over the predicted value, within bounds.
 
@@ -133,7 +165,7 @@
     :param actual: measured value.
 
     >>> clip_error(1.0, 1.0), clip_error(1.0, 1e9), clip_error(0.0, 0.0)
-    (0.0, 1.0, 0.0)
+    (0.0, 0.5, 0.0)
     """
     if not (predicted > 0 and actual > 0):
         return 0.0
@@ -183,12 +215,13 @@
 
 def _compute_parts(
     coefficients: StartCoefficients, terms: StartTerms
-) -> tuple[float, float, float, float]:
+) -> tuple[float, float, float, float, float]:
     return (
         coefficients.base_s,
         coefficients.read_s * max(terms.read_tokens, 0.0),
         coefficients.pending_s * max(terms.pending_tokens, 0.0),
         coefficients.running_s * max(terms.requests, 0.0),
+        coefficients.cached_s * max(terms.cached_tokens, 0.0),
     )
 
 
--- a/bilberryspring/policy/tests/test_request_cost.py
+++ b/bilberryspring/policy/tests/test_request_cost.py
@@ -23,8 +23,8 @@
     make_route,
 )
 
-# An engine that reads half as fast as guessed, with longer steps.
-SLOW = StartCoefficients(0.03, 1 / 64_200, 1 / 64_200, 0.004)
+# An engine of half the guessed speed.
+SLOW = StartCoefficients(0.06, 1 / 32_000, 1 / 64_200, 0.002, 1 / 500_000)
 TARGET_FACTOR = 1.5
 
 
--- a/bilberryspring/request/cost_estimates.py
+++ b/bilberryspring/request/cost_estimates.py
@@ -16,6 +16,7 @@
     decay_correction,
     learn_correction,
     predict_start_s,
+    scale_coefficients,
 )
 from bilberryspring.process.logs import log_event
 
@@ -60,6 +61,17 @@
         """
         return self._coefficients.get(pool, GUESSED_START_COEFFICIENTS)
 
+    def find_coefficients(
+        self, request: IncomingRequest, pool: PoolName
+    ) -> StartCoefficients:
+        """Return the coefficients of a pool of engines for requests like one.
+
+        :param request: the request.
+        :param pool: name of the pool.
+        """
+        factor = self._predict_factor(_list_start_keys(request, pool))
+        return scale_coefficients(self.get_coefficients(pool), factor)
+
     def record_start(
         self,
         request: IncomingRequest,
@@ -75,9 +87,9 @@
         :param taken_s: time from sending the request, in seconds.
         """
         coefficients = self.get_coefficients(pool)
-        self._record_error(
-            Quantity.START, request, predict_start_s(coefficients, terms), taken_s
-        )
+        predicted_s = predict_start_s(self.find_coefficients(request, pool), terms)
+        self._record_error(Quantity.START, request, predicted_s, taken_s)
+        self._learn(_list_start_keys(request, pool), predicted_s, taken_s)
         self._coefficients[pool] = correct_start(coefficients, terms, taken_s)
 
     def predict_output_tokens(self, request: IncomingRequest) -> int:
@@ -183,6 +195,10 @@
             log_event("cost_error", quantity=name, route=route, p90_factor=p90)
 
 
+def _list_start_keys(request: IncomingRequest, pool: PoolName) -> tuple[Hashable, ...]:
+    return ((Quantity.START, "route", pool, request.route.name),)
+
+
 def _list_output_keys(request: IncomingRequest) -> tuple[Hashable, ...]:
     is_hinted = request.prompt.hinted_output_tokens > 0
     return (
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -674,6 +674,7 @@
                 reservation.prompt_tokens,
                 record.prompt_tokens + record.peer_load.prompt_tokens,
                 record.total_requests,
+                reservation.cached_tokens,
                 reservation.copied_s,
             )
         record.change_requests(1, now_s)
--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -461,7 +461,7 @@
     def _predict_cost(self, request: IncomingRequest, pool: PoolLimits) -> _Cost:
         if pool.engine is None or request.prompt is None:
             return _Cost(self.get_mean_service_s(pool.name))
-        coefficients = self.costs.get_coefficients(pool.name)
+        coefficients = self.costs.find_coefficients(request, pool.name)
         output_tokens = self.costs.predict_output_tokens(request)
         return _Cost(0.0, request.prompt, coefficients, output_tokens)
 
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -40,7 +40,7 @@
     :param missing_prefix_s: part of ``expected_s`` that is spent on shared prompt parts
         which the server lacks.
     :param fetch_from: engine to copy the missing parts from, ``None`` to prefill them.
-    :param output_tokens: tokens that the response is predicted to have.
+    :param cached_tokens: prompt tokens that the engine is expected to have cached.
     :param start_terms: what the engine had to do before the response when the capacity
         was reserved; ``None`` for a plain service.
     :param is_prefill_done: whether the response has begun, so that ``prompt_tokens`` no
@@ -67,7 +67,7 @@
     missing_prefix_s: float = 0.0
     copied_s: float = 0.0
     fetch_from: ServerRecord | None = None
-    output_tokens: int = 0
+    cached_tokens: int = 0
     start_terms: StartTerms | None = None
     is_prefill_done: bool = False
     trial: int | None = None
@@ -133,8 +133,10 @@
     else:
         missing_s = missing_tokens * coefficients.read_s
         prefill_tokens = own_tokens + missing_tokens
+    cached_tokens = max(prompt.input_tokens - own_tokens - missing_tokens, 0)
     expected_s = (
         coefficients.base_s
+        + cached_tokens * coefficients.cached_s
         + own_tokens * coefficients.read_s
         + missing_s
         + (record.prompt_tokens + record.peer_load.prompt_tokens)
@@ -149,7 +151,7 @@
         missing_s,
         0.0 if source is None else missing_s,
         source,
-        output_tokens,
+        cached_tokens,
     )
 
 
