--- a/bilberryspring/policy/request_cost.py
+++ b/bilberryspring/policy/request_cost.py
@@ -78,7 +78,7 @@
 
 # Guesses from engines of a typical speed, in force until responses show better.
 GUESSED_START_COEFFICIENTS = StartCoefficients(
-    0.03, 1 / 70_000, 1 / 140_000, 0.001, 1 / 1_000_000
+    0.06, 1 / 140_000, 1 / 140_000, 0.002, 1 / 10_000_000
 )
 
 
@@ -90,7 +90,7 @@
 
     >>> guess = GUESSED_START_COEFFICIENTS
     >>> round(predict_start_s(guess, StartTerms(14_000, 0, 5)), 3)
-    0.235
+    0.17
     """
     return sum(_compute_parts(coefficients, terms)) + terms.fixed_s
 
