--- a/bilberryspring/policy/direct_admission.py
+++ b/bilberryspring/policy/direct_admission.py
@@ -42,7 +42,11 @@
 # Requests are deferred only if this wait is long enough for a burst to end, as a
 # multiple of the latency target.
 MIN_DEFERRAL_TARGETS = 1.5
+# Not every router has deferred requests, so each may use more than an equal part.
+RELEASE_FACTOR = 3.0
 MIN_DEFERRAL_ADMITTED_SHARE = 0.05
+# Requests that a router defers before it has sent any of them.
+MAX_UNPROVEN_DEFERRALS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,10 +152,10 @@
     if allowed_s < MIN_DEFERRAL_TARGETS * view.target_s:
         return 0.0
     wait_s = predict_wait(view) / max(admitted_share, MIN_DEFERRAL_ADMITTED_SHARE)
-    # Until others show how fast such requests are sent, a single one tries.
+    # Until some of them are sent, only few are deferred.
     if released_per_s > 0.0:
         wait_s = max(wait_s, (view.queued_ahead + 1) / released_per_s)
-    elif has_expired or view.queued_ahead:
+    elif has_expired or view.queued_ahead >= MAX_UNPROVEN_DEFERRALS:
         return 0.0
     return allowed_s if wait_s <= allowed_s else 0.0
 
@@ -164,10 +168,10 @@
     :param free_requests: requests that the pool takes before it is overloaded.
     :param router_count: number of routers that share the pool.
 
-    >>> compute_release_chance(10, 20), compute_release_chance(-1, 20)
+    >>> compute_release_chance(10, 60), compute_release_chance(-1, 20)
     (0.5, 0.0)
     """
-    return min(max(free_requests / max(router_count, 1), 0.0), 1.0)
+    return min(max(RELEASE_FACTOR * free_requests / max(router_count, 1), 0.0), 1.0)
 
 
 def compute_capacity_share(rank_order: int) -> float:
--- a/bilberryspring/policy/tests/test_shedding.py
+++ b/bilberryspring/policy/tests/test_shedding.py
@@ -9,6 +9,7 @@
     compute_shedding_position,
 )
 from bilberryspring.policy.tests.fleet_replay import Fleet, Outcomes, replay_fleet
+from bilberryspring.request import dispatcher
 from bilberryspring.request.dispatcher import Dispatcher
 
 TARGET_S = Fleet().target_s
@@ -93,3 +94,28 @@
     assert max(urgent) <= 0.3
     assert sum(each < 0.3 for each in other) == pytest.approx(30, abs=2)
     assert 0.85 * 1000 < sum(each < 0.9 for each in other) < 0.95 * 1000
+
+
+def replay_burst(routers):
+    """Replay a burst of a second before callers that allow five times their target."""
+    burst = {"utilization": 0.5, "burst": (0.5, 1.5, 3.0)}
+    sizes = {"servers": 3, "service_s": 0.09, "target_s": 0.418, "deadline_s": 2.0}
+    results = [
+        replay_fleet(Fleet(routers=routers, **burst, **sizes), seed, 4.0).all
+        for seed in (1, 2, 3)
+    ]
+    total = sum(each.total for each in results)
+    in_time = sum(each.count_in_time(sizes["target_s"]) for each in results)
+    late = sum(len(each.response_s) for each in results) - in_time
+    return (in_time + 0.5 * late) / total, late / total
+
+
+@pytest.mark.parametrize("routers", [5, 30, 68])
+def test_deferral_serves_more_of_a_burst_late_and_no_fewer_in_time(
+    routers, monkeypatch
+):
+    benefit, late_share = replay_burst(routers)
+    monkeypatch.setattr(dispatcher, "compute_deferral", lambda *_: 0.0)
+    refusing_benefit, refusing_late_share = replay_burst(routers)
+    assert benefit > refusing_benefit
+    assert late_share > refusing_late_share
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -77,6 +77,7 @@
     "engine_version_changed": Event(_STATE, "the engine now runs another version"),
     "crash_recorded": Event(_STATE, "a request content crashed a backend server"),
     "cost_error": Event(_ROUTINE, "how far nine of ten predicted costs are off"),
+    "request_deferred": Event(_ROUTINE, "a request waited for the end of a burst"),
     "server_crashed": Event(_STATE, "a server crashed before answering a request"),
     "content_quarantined": Event(_STATE, "requests with a content are refused"),
     "content_released": Event(_STATE, "requests with a content are served again"),
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -34,6 +34,7 @@
     ServerKey,
     make_credit_exchange,
 )
+from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_table import ServerRecord, ServerTable
 from bilberryspring.request.decaying_sum import DecayingSum
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
@@ -250,6 +251,14 @@
         finally:
             if found is None:
                 self._discard_waiting(waiting, queue)
+            log_event(
+                "request_deferred",
+                request_id=request.request_id,
+                pool=pool.name,
+                waited_s=loop.time() - now_s,
+                allowed_s=wait_s,
+                is_sent=isinstance(found, Reservation),
+            )
         return found
 
     def acquire_now(
--- a/bilberryspring/request/load_shedding.py
+++ b/bilberryspring/request/load_shedding.py
@@ -15,7 +15,7 @@
 MIX_TIME_CONSTANT_S = 5.0
 # Time over which the deferred requests that were sent are averaged, and for which one
 # that waited in vain counts against others.
-DEFERRAL_TIME_S = 2.0
+DEFERRAL_TIME_S = 5.0
 MIN_EXPIRED = 0.2
 
 PriorityKey = tuple[int, int, bool]
--- a/bilberryspring/request/tests/test_dispatcher.py
+++ b/bilberryspring/request/tests/test_dispatcher.py
@@ -348,3 +348,50 @@
     async with asyncio.timeout(0.1):
         assert (await tasks[1]).record is table.records["b"]
     tasks[0].cancel()
+
+
+def shed_all(dispatcher, monkeypatch, share):
+    shedder = dispatcher._shedders["desk"]
+    shedder.admitted_share = share
+    monkeypatch.setattr(shedder, "admits", lambda *_: False)
+    monkeypatch.setattr(shedder, "is_due", lambda _: False)
+    return shedder
+
+
+def make_patient_request(target_s=0.1):
+    return make_request(make_route(target_s=target_s, timeout_s=2.0))
+
+
+async def test_shed_request_is_deferred_until_the_load_falls(monkeypatch):
+    dispatcher, _ = make_dispatcher_and_table([make_server("a", SERVICE_POOL.name)])
+    shedder = shed_all(dispatcher, monkeypatch, 0.5)
+    waiting = asyncio.create_task(acquire(dispatcher, make_patient_request()))
+    await asyncio.sleep(0.1)
+    assert not waiting.done()
+    shedder.admitted_share = 1.0
+    assert isinstance(await waiting, Reservation)
+
+
+async def test_deferred_request_is_refused_in_time_for_another_try(monkeypatch):
+    dispatcher, _ = make_dispatcher_and_table([make_server("a", SERVICE_POOL.name)])
+    shed_all(dispatcher, monkeypatch, 0.5)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    found = await acquire(dispatcher, make_patient_request())
+    assert found.kind is ErrorKind.OVERLOADED
+    assert 0.3 < loop.time() - began_s < 1.5
+    # The next one would wait in vain as well.
+    began_s = loop.time()
+    found = await acquire(dispatcher, make_patient_request())
+    assert found.kind is ErrorKind.OVERLOADED
+    assert loop.time() - began_s < 0.3
+    assert not dispatcher._waiting["desk"]
+
+
+async def test_request_without_spare_time_is_not_deferred(monkeypatch):
+    dispatcher, _ = make_dispatcher_and_table([make_server("a", SERVICE_POOL.name)])
+    shed_all(dispatcher, monkeypatch, 0.5)
+    request = make_patient_request(target_s=1.5)
+    began_s = asyncio.get_running_loop().time()
+    assert (await acquire(dispatcher, request)).kind is ErrorKind.OVERLOADED
+    assert asyncio.get_running_loop().time() - began_s < 0.3
