--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from bilberryspring.capability.routing import IncomingRequest, PoolLimits, Prompt
+from bilberryspring.capability.routing import IncomingRequest, PoolLimits
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName
 from bilberryspring.policy.direct_admission import (
     compute_capacity_share,
@@ -24,7 +24,6 @@
     draw_uniform,
 )
 from bilberryspring.policy.request_cost import (
-    GUESSED_START_COEFFICIENTS,
     StartCoefficients,
 )
 from bilberryspring.policy.server_eligibility import Exclusion
@@ -37,6 +36,7 @@
     Reservation,
     plan_reservation,
     predict_engine_start_s,
+    predict_load_delay_s,
     rank_home_engines,
 )
 
@@ -75,22 +75,6 @@
 MAX_NAMED_SERVERS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class _Cost:
-    """What a request costs at any server of its pool.
-
-    :param service_s: predicted time at a plain server, in seconds.
-    :param prompt: prompt of a request to an engine, ``None`` for others.
-    :param coefficients: coefficients of the pool's engines.
-    :param output_tokens: tokens that the response is predicted to have.
-    """
-
-    service_s: float
-    prompt: Prompt | None = None
-    coefficients: StartCoefficients = GUESSED_START_COEFFICIENTS
-    output_tokens: int = 0
-
-
 @dataclass(slots=True)
 class PlacementDecision:
     """Where a request would go now, and why.
@@ -279,26 +263,46 @@
         :returns: what the request needs at each of them, by id.
         """
         is_heavy = self.usage[pool.name].is_heavy(request.workspace, now_s)
-        cost = self._predict_cost(request, pool)
+        service_s = self.get_mean_service_s(pool.name)
+        coefficients = self.costs.get_coefficients(pool.name)
+        is_plain = pool.engine is None
+        cost = None if is_plain else self._predict_cost(request, pool)
         reservations = {}
         for record in records:
-            server_id = record.server.server_id
+            server = record.server
+            server_id = server.server_id
             if not record.pause.allows_request(now_s):
                 decision.exclusions[server_id] = Exclusion.PAUSED
                 continue
-            reservation = self._plan_reservation(record, cost, pool, homes, now_s)
+            if cost is None:
+                reservation = Reservation(record, 0, 0, service_s)
+            else:
+                reservation = plan_reservation(
+                    record,
+                    request.prompt,
+                    pool.engine,
+                    homes,
+                    decision.ready,
+                    now_s,
+                    *cost,
+                )
             if not self._has_capacity(record, reservation, request, pool, is_heavy):
                 decision.exclusions[server_id] = Exclusion.NO_ROOM
                 continue
+            requests = record.total_requests
             slowness = record.compute_slowness(now_s)
-            if pool.engine is None:
+            if is_plain:
                 slowness *= record.predict_work_time_ratio(now_s)
-            start_s = self._predict_start_s(reservation, pool) * slowness
-            start_s += decision.penalties_s[server_id]
-            is_near = record.server.availability_zone == self._zone
+                start_s = (requests + 1) / max(server.slots, 1) * service_s
+            else:
+                start_s = predict_engine_start_s(reservation)
+                if cost is None:
+                    start_s += predict_load_delay_s(record, coefficients)
+            start_s = start_s * slowness + decision.penalties_s[server_id]
+            is_near = server.availability_zone == self._zone
             reservations[server_id] = reservation
             decision.candidates.append(
-                ServerCandidate(server_id, record.total_requests, start_s, is_near)
+                ServerCandidate(server_id, requests, start_s, is_near)
             )
         return reservations
 
@@ -458,42 +462,17 @@
             return False
         return record.total_requests < pool.engine.slots * capacity_share
 
-    def _predict_cost(self, request: IncomingRequest, pool: PoolLimits) -> _Cost:
-        if pool.engine is None or request.prompt is None:
-            return _Cost(self.get_mean_service_s(pool.name))
-        coefficients = self.costs.find_coefficients(request, pool.name)
-        output_tokens = self.costs.predict_output_tokens(request)
-        return _Cost(0.0, request.prompt, coefficients, output_tokens)
-
-    def _plan_reservation(
-        self,
-        record: ServerRecord,
-        cost: _Cost,
-        pool: PoolLimits,
-        homes: list[ServerRecord],
-        now_s: float,
-    ) -> Reservation:
-        if cost.prompt is None:
-            return Reservation(record, 0, 0, cost.service_s)
-        others = self._servers.list_ready(pool.name)
-        return plan_reservation(
-            record,
-            cost.prompt,
-            pool.engine,
-            homes,
-            others,
-            now_s,
-            cost.coefficients,
-            cost.output_tokens,
+    def _predict_cost(
+        self, request: IncomingRequest, pool: PoolLimits
+    ) -> tuple[StartCoefficients, int] | None:
+        """Return the coefficients for a request to an engine, and its output tokens."""
+        if request.prompt is None:
+            return None
+        return (
+            self.costs.find_coefficients(request, pool.name),
+            self.costs.predict_output_tokens(request),
         )
 
-    def _predict_start_s(self, reservation: Reservation, pool: PoolLimits) -> float:
-        if pool.engine is not None:
-            return predict_engine_start_s(reservation)
-        record = reservation.record
-        requests_per_slot = (record.total_requests + 1) / max(record.server.slots, 1)
-        return requests_per_slot * self.get_mean_service_s(pool.name)
-
 
 def _has_credit(
     credit: dict[str, CreditState], record: ServerRecord, may_ask: bool
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -12,6 +12,7 @@
     "Reservation",
     "plan_reservation",
     "predict_engine_start_s",
+    "predict_load_delay_s",
     "rank_home_engines",
 ]
 
@@ -139,9 +140,7 @@
         + cached_tokens * coefficients.cached_s
         + own_tokens * coefficients.read_s
         + missing_s
-        + (record.prompt_tokens + record.peer_load.prompt_tokens)
-        * coefficients.pending_s
-        + record.total_requests * coefficients.running_s
+        + predict_load_delay_s(record, coefficients)
     )
     return Reservation(
         record,
@@ -182,6 +181,21 @@
     return not record.is_avoided(now_s) and not record.pause.is_active(now_s)
 
 
+def predict_load_delay_s(
+    record: ServerRecord, coefficients: StartCoefficients
+) -> float:
+    """Predict how long the other requests at an engine delay a response, in seconds.
+
+    :param record: record of the engine.
+    :param coefficients: coefficients of its pool.
+    """
+    pending_tokens = record.prompt_tokens + record.peer_load.prompt_tokens
+    return (
+        pending_tokens * coefficients.pending_s
+        + record.total_requests * coefficients.running_s
+    )
+
+
 def predict_engine_start_s(reservation: Reservation) -> float:
     """Predict the time until an engine of typical speed begins its response.
 
