--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -250,6 +250,12 @@
                 "Servers that are cold and take requests at a limited rate",
                 self._servers.cold.count_cold,
             ),
+            "cost_error_factor": (
+                "Error that nine of ten predictions of a route's cost stay within",
+                self._dispatcher.costs.list_errors,
+                "quantity",
+                "route",
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -16,13 +16,17 @@
 from bilberryspring.identifiers import AvailabilityZone, PoolName
 from bilberryspring.policy.direct_admission import (
     QueueView,
+    compute_deferral,
     compute_max_wait,
+    compute_release_chance,
     predict_wait,
 )
 from bilberryspring.policy.direct_placement import (
     DEFAULT_DIRECT_PLACEMENT_POLICY,
     draw_uniform,
 )
+from bilberryspring.policy.request_cost import StartTerms
+from bilberryspring.policy.shedding import compute_free_requests
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.credit_exchange import (
     CreditExchange,
@@ -30,10 +34,16 @@
     ServerKey,
     make_credit_exchange,
 )
+from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_table import ServerRecord, ServerTable
 from bilberryspring.request.decaying_sum import DecayingSum
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
-from bilberryspring.request.load_shedding import LoadShedder, make_load_shedder
+from bilberryspring.request.load_shedding import (
+    Deferrals,
+    LoadShedder,
+    make_deferrals,
+    make_load_shedder,
+)
 from bilberryspring.request.placement_decision import (
     INITIAL_SERVICE_TIME_S,
     MIN_RETRY_AFTER_S,
@@ -44,7 +54,7 @@
     make_placement_planner,
 )
 from bilberryspring.request.placement_preview import QueueForecast
-from bilberryspring.request.reservations import ENGINE_BASE_LATENCY_S, Reservation
+from bilberryspring.request.reservations import Reservation
 
 __all__ = ["Dispatcher", "make_dispatcher"]
 
@@ -57,6 +67,8 @@
 MAX_QUESTIONS = 2
 # Time over which the requests to servers that limit their rate are averaged.
 LIMITED_RATE_TIME_S = 4.0
+# Added to the rank of deferred requests, so that they come after all others.
+DEFERRED_RANK_OFFSET = 1_000
 # Waiting requests that are tried at a time; the others wait behind these.
 MAX_DISPATCH_SCAN = 8
 
@@ -67,6 +79,7 @@
     request: IncomingRequest = field(compare=False)
     pool: PoolLimits = field(compare=False)
     result: "asyncio.Future[Reservation | Failure]" = field(compare=False)
+    is_deferred: bool = field(default=False, compare=False)
 
 
 class Dispatcher:
@@ -104,6 +117,8 @@
         self._redispatches: dict[PoolName, asyncio.TimerHandle] = {}
         self._sequence_numbers = itertools.count()
         self._mean_service_s = self._planner.mean_service_s
+        self.costs = self._planner.costs
+        self._deferrals: defaultdict[PoolName, Deferrals] = defaultdict(make_deferrals)
         self._shedders: defaultdict[PoolName, LoadShedder] = defaultdict(
             make_load_shedder
         )
@@ -142,7 +157,7 @@
         priority_key = self._make_priority_key(request, pool)
         refusal = self._shed_load(request, pool, priority_key)
         if refusal is not None:
-            return refusal
+            return await self._defer(request, pool, priority_key, must_end_s, refusal)
         if queue and pool.engine is not None:
             # Requests that wait for their home engines don't hold up others, but those
             # that wait for any engine come first.
@@ -161,7 +176,7 @@
             request, pool, priority_key, must_end_s, min_wait_s
         )
         if refusal is not None:
-            return refusal
+            return await self._defer(request, pool, priority_key, must_end_s, refusal)
         waiting = _WaitingRequest(
             (*priority_key, next(self._sequence_numbers)),
             request,
@@ -187,6 +202,66 @@
                 self._discard_waiting(waiting, queue)
         return found
 
+    async def _defer(
+        self,
+        request: IncomingRequest,
+        pool: PoolLimits,
+        priority_key: tuple[int, int, bool],
+        must_end_s: float,
+        refusal: Failure,
+    ) -> Reservation | Failure:
+        """Wait behind all other requests for capacity that a burst leaves none of.
+
+        :param refusal: why the request is not admitted now.
+        :returns: the reservation, or the refusal if no capacity becomes free in time.
+        """
+        queue = self._waiting[pool.name]
+        shedder, deferrals = self._shedders[pool.name], self._deferrals[pool.name]
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        rank, route_rank, is_heavy = priority_key
+        key = (rank + DEFERRED_RANK_OFFSET, route_rank, is_heavy)
+        view = self._view_queue(request, pool, key, must_end_s)
+        wait_s = 0.0
+        if pool.engine is None and view.pool_slots and not request.tried_server_ids:
+            wait_s = compute_deferral(
+                view,
+                shedder.admitted_share,
+                deferrals.get_released_per_s(now_s),
+                deferrals.has_expired(now_s),
+            )
+        if wait_s <= 0.0:
+            return refusal
+        waiting = _WaitingRequest(
+            (*key, next(self._sequence_numbers)),
+            request,
+            pool,
+            loop.create_future(),
+            is_deferred=True,
+        )
+        heapq.heappush(queue, waiting)
+        self._schedule_redispatch(pool.name)
+        found = None
+        try:
+            async with asyncio.timeout(wait_s):
+                found = await waiting.result
+            deferrals.record(is_released=True, now_s=loop.time())
+        except TimeoutError:
+            deferrals.record(is_released=False, now_s=loop.time())
+            return refusal
+        finally:
+            if found is None:
+                self._discard_waiting(waiting, queue)
+            log_event(
+                "request_deferred",
+                request_id=request.request_id,
+                pool=pool.name,
+                waited_s=loop.time() - now_s,
+                allowed_s=wait_s,
+                is_sent=isinstance(found, Reservation),
+            )
+        return found
+
     def acquire_now(
         self, request: IncomingRequest, pool: PoolLimits, allows_avoided: bool = False
     ) -> Reservation | Failure:
@@ -246,6 +321,46 @@
             )
         self.dispatch_waiting(pool)
 
+    def record_start(
+        self, request: IncomingRequest, reservation: Reservation, taken_s: float
+    ) -> None:
+        """Learn from the begin of a response.
+
+        :param request: the request.
+        :param reservation: its reservation.
+        :param taken_s: time from sending it, in seconds.
+        """
+        if reservation.start_terms is not None:
+            self.costs.record_start(
+                request,
+                reservation.record.server.pool,
+                reservation.start_terms,
+                taken_s,
+            )
+
+    def record_answer(
+        self,
+        request: IncomingRequest,
+        reservation: Reservation,
+        pool: PoolLimits,
+        event_count: int,
+        taken_s: float,
+    ) -> None:
+        """Learn from a complete response.
+
+        :param request: the request.
+        :param reservation: its reservation.
+        :param pool: pool that served it.
+        :param event_count: events of a streamed response.
+        :param taken_s: time from sending the request, in seconds.
+        """
+        if pool.engine is None:
+            mean_s = self.get_mean_service_s(pool.name)
+            self.costs.record_service(request, pool.name, mean_s, taken_s)
+        elif request.prompt is not None and request.resume_after is None:
+            output_tokens = event_count * pool.engine.chunk_tokens
+            self.costs.record_output(request, output_tokens)
+
     def dispatch_waiting(self, pool: PoolName) -> None:
         """Assign servers to the waiting requests of a pool, the most urgent first.
 
@@ -260,6 +375,8 @@
         for waiting in heapq.nsmallest(MAX_DISPATCH_SCAN, queue):
             if waiting.result.done():
                 continue
+            if waiting.is_deferred and not self._may_release(waiting.pool):
+                break
             found = self._try_reserve(waiting.request, waiting.pool)
             if isinstance(found, Failure) and found.kind is not ErrorKind.NO_INSTANCE:
                 if waiting.pool.engine is None and not waiting.request.tried_server_ids:
@@ -277,6 +394,33 @@
             queue[:] = open_requests
             heapq.heapify(queue)
 
+    def _may_release(self, pool: PoolLimits) -> bool:
+        """Draw whether a deferred request of a pool may be sent now.
+
+        It gets only capacity that requests which can be in time leave.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._adjust_share(pool, now_s).admitted_share < 1.0:
+            return False
+        free_requests = compute_free_requests(*self._sum_load(pool))
+        chance = compute_release_chance(free_requests, self.router_count)
+        return random.random() < chance
+
+    def _adjust_share(self, pool: PoolLimits, now_s: float) -> LoadShedder:
+        """Adjust the share of requests that are admitted to a pool to its load."""
+        shedder = self._shedders[pool.name]
+        if shedder.is_due(now_s):
+            requests, slots = self._sum_load(pool)
+            is_engine = pool.engine is not None
+            shedder.adjust(requests / max(slots, 1), now_s, is_engine)
+        return shedder
+
+    def _sum_load(self, pool: PoolLimits) -> tuple[float, float]:
+        """Return the requests at the servers that want some, and their usable slots."""
+        accepting = self._list_accepting(pool.name)
+        slots = sum(self._count_usable_slots(record, pool) for record in accepting)
+        return sum(record.total_requests for record in accepting), slots
+
     def _schedule_redispatch(self, pool: PoolName) -> None:
         if pool not in self._redispatches:
             self._redispatches[pool] = asyncio.get_running_loop().call_later(
@@ -357,14 +501,8 @@
         """Refuse a request beyond the share that the routers admit to its pool."""
         if request.tried_server_ids:
             return None
-        shedder = self._shedders[pool.name]
         now_s = asyncio.get_running_loop().time()
-        if shedder.is_due(now_s):
-            accepting = self._list_accepting(pool.name)
-            slots = sum(self._count_usable_slots(record, pool) for record in accepting)
-            requests = sum(record.total_requests for record in accepting)
-            is_engine = pool.engine is not None
-            shedder.adjust(requests / max(slots, 1), now_s, is_engine)
+        shedder = self._adjust_share(pool, now_s)
         draw = draw_uniform(request.request_id, pool.name)
         if shedder.admits(priority_key, draw, now_s):
             return None
@@ -467,7 +605,9 @@
             pool_slots=sum(max(record.server.slots, 1) for record in unlimited),
             router_count=self.router_count,
             service_s=service_s,
-            target_event_s=service_s if pool.engine is None else ENGINE_BASE_LATENCY_S,
+            target_event_s=service_s
+            if pool.engine is None
+            else self.costs.get_coefficients(pool.name).base_s,
             target_s=request.route.target_s,
             remaining_s=must_end_s - self._read_clock(),
             limited_per_s=limited_per_s,
@@ -554,6 +694,14 @@
         )
         reservation.mean_requests = sum(r.total_requests for r in ready) / len(ready)
         reservation.servers_without_room = len(ready) - len(decision.candidates)
+        if pool.engine is not None and request.prompt is not None:
+            reservation.start_terms = StartTerms(
+                reservation.prompt_tokens,
+                record.prompt_tokens + record.peer_load.prompt_tokens,
+                record.total_requests,
+                reservation.cached_tokens,
+                reservation.copied_s,
+            )
         record.change_requests(1, now_s)
         record.prompt_tokens += reservation.prompt_tokens
         record.held_tokens += reservation.held_tokens
--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -23,16 +23,20 @@
     compute_unsampled_penalties,
     draw_uniform,
 )
+from bilberryspring.policy.request_cost import (
+    StartCoefficients,
+)
 from bilberryspring.policy.server_eligibility import Exclusion
 from bilberryspring.process.credit_exchange import CreditExchange, CreditState
 from bilberryspring.process.server_table import ServerRecord, ServerTable
+from bilberryspring.request.cost_estimates import CostEstimates, make_cost_estimates
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.recent_usage import RecentUsage, make_recent_usage
 from bilberryspring.request.reservations import (
-    ENGINE_BASE_LATENCY_S,
     Reservation,
     plan_reservation,
     predict_engine_start_s,
+    predict_load_delay_s,
     rank_home_engines,
 )
 from bilberryspring.request.server_exclusions import (
@@ -114,6 +118,7 @@
     :ivar load_factor: highest load of a server, as a multiple of the mean load.
     :ivar router_count: number of routers that send to the same servers.
     :ivar usage: recent usage of each pool by workspaces.
+    :ivar costs: what requests cost, learned from responses.
     :ivar mean_service_s: mean time to a complete response in seconds, by pool.
     """
 
@@ -134,6 +139,7 @@
         self.router_count = 1
         self.usage: defaultdict[PoolName, RecentUsage] = defaultdict(make_recent_usage)
         self.mean_service_s: dict[PoolName, float] = {}
+        self.costs: CostEstimates = make_cost_estimates(read_clock)
 
     def get_mean_service_s(self, pool: PoolName) -> float:
         """Return the mean time to a complete response in a pool.
@@ -264,26 +270,48 @@
         :returns: what the request needs at each of them, by id.
         """
         is_heavy = self.usage[pool.name].is_heavy(request.workspace, now_s)
+        service_s = self.get_mean_service_s(pool.name)
+        coefficients = self.costs.get_coefficients(pool.name)
+        is_plain = pool.engine is None
+        cost = None if is_plain else self._predict_cost(request, pool)
+        others = list_allowed(decision.ready, request)
         reservations = {}
         for record in records:
-            server_id = record.server.server_id
+            server = record.server
+            server_id = server.server_id
             if not record.pause.allows_request(now_s):
                 decision.exclusions[server_id] = Exclusion.PAUSED
                 continue
-            reservation = self._plan_reservation(record, request, pool, homes, now_s)
+            if cost is None:
+                reservation = Reservation(record, 0, 0, service_s)
+            else:
+                reservation = plan_reservation(
+                    record,
+                    request.prompt,
+                    pool.engine,
+                    homes,
+                    others,
+                    now_s,
+                    *cost,
+                )
             if not self._has_capacity(record, reservation, request, pool, is_heavy):
                 decision.exclusions[server_id] = Exclusion.NO_ROOM
                 continue
+            requests = record.total_requests
             slowness = record.compute_slowness(now_s)
-            if pool.engine is None:
+            if is_plain:
                 slowness *= record.predict_work_time_ratio(now_s)
                 slowness *= self._servers.cold.get_start_factor(record.server)
-            start_s = self._predict_start_s(reservation, pool) * slowness
-            start_s += decision.penalties_s[server_id]
-            is_near = record.server.availability_zone == self._zone
+                start_s = (requests + 1) / max(server.slots, 1) * service_s
+            else:
+                start_s = predict_engine_start_s(reservation)
+                if cost is None:
+                    start_s += predict_load_delay_s(record, coefficients)
+            start_s = start_s * slowness + decision.penalties_s[server_id]
+            is_near = server.availability_zone == self._zone
             reservations[server_id] = reservation
             decision.candidates.append(
-                ServerCandidate(server_id, record.total_requests, start_s, is_near)
+                ServerCandidate(server_id, requests, start_s, is_near)
             )
         return reservations
 
@@ -370,8 +398,9 @@
             return False
         if not homes or any(home.server.server_id in reservations for home in homes):
             return False
+        base_s = self.costs.get_coefficients(homes[0].server.pool).base_s
         allowed_s = compute_home_wait(
-            request.prompt.shared_tokens, request.route.target_s, ENGINE_BASE_LATENCY_S
+            request.prompt.shared_tokens, request.route.target_s, base_s
         )
         return self._read_clock() - request.received_s < allowed_s
 
@@ -442,28 +471,17 @@
             return False
         return record.total_requests < pool.engine.slots * capacity_share
 
-    def _plan_reservation(
-        self,
-        record: ServerRecord,
-        request: IncomingRequest,
-        pool: PoolLimits,
-        homes: list[ServerRecord],
-        now_s: float,
-    ) -> Reservation:
-        if request.prompt is None or pool.engine is None:
-            return Reservation(record, 0, 0, self.get_mean_service_s(pool.name))
-        others = list_allowed(self._servers.list_ready(pool.name), request)
-        return plan_reservation(
-            record, request.prompt, pool.engine, homes, others, now_s
+    def _predict_cost(
+        self, request: IncomingRequest, pool: PoolLimits
+    ) -> tuple[StartCoefficients, int] | None:
+        """Return the coefficients for a request to an engine, and its output tokens."""
+        if request.prompt is None:
+            return None
+        return (
+            self.costs.find_coefficients(request, pool.name),
+            self.costs.predict_output_tokens(request),
         )
 
-    def _predict_start_s(self, reservation: Reservation, pool: PoolLimits) -> float:
-        if pool.engine is not None:
-            return predict_engine_start_s(reservation)
-        record = reservation.record
-        requests_per_slot = (record.total_requests + 1) / max(record.server.slots, 1)
-        return requests_per_slot * self.get_mean_service_s(pool.name)
-
 
 def _has_credit(
     credit: dict[str, CreditState], record: ServerRecord, may_ask: bool
