--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -150,6 +150,7 @@
         :returns: the reservation, which the caller passes to :meth:`release`, or the
             failure if there is none.
         """
+        begun_s = self._read_clock()
         queue = self._waiting.setdefault(pool.name, [])
         refusal = self._refuse_in_pause(pool.name)
         if refusal is not None:
@@ -192,7 +193,9 @@
             view = self._view_queue(request, pool, priority_key, must_end_s)
             if not view.pool_slots:
                 # No end of another request makes room, only credit does.
-                wait_s = min(wait_s, compute_max_wait(view))
+                # Questions about credit took part of the time that a wait is worth.
+                asked_s = self._read_clock() - begun_s
+                wait_s = min(wait_s, compute_max_wait(view) - asked_s)
             async with asyncio.timeout(max(0.0, wait_s)):
                 found = await waiting.result
         except TimeoutError:
