Leave sockets to the connections that wait to be accepted

Cause: the event loop accepts the whole queue of a listener before a connection can be ended for another, so the queue comes on top of the limit.

Change: a quarter of each listener's sockets, 1,024 at most, is its queue.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -36,7 +36,7 @@
     MachineSettings,
     load_machine_settings,
 )
-from bilberryspring.policy.caller_room import compute_memory_limit
+from bilberryspring.policy.caller_room import compute_memory_limit, split_sockets
 from bilberryspring.process.addresses import split_address
 from bilberryspring.process.caller_room import find_connection_limit, make_caller_room
 from bilberryspring.process.clock import read_boot_time_s
@@ -57,7 +57,6 @@
 
 __all__ = ["FrontRouter", "main", "make_front_router"]
 
-LISTEN_BACKLOG = 1024
 # Memory of all requests of callers that are being received, queued or handled.
 MAX_REQUESTS_BYTES = 48 * 1024 * 1024
 # Readiness checks and reads of metrics have connections and memory of their own, so
@@ -111,10 +110,13 @@
         limit = find_connection_limit(settings.max_descriptors)
         check_limit = min(MAX_CHECK_CONNECTIONS, int(limit * CHECK_CONNECTION_SHARE))
         control_limit = int(limit * CONTROL_SHARE) if settings.control_address else 0
+        caller_limit, self._caller_backlog = split_sockets(
+            limit - check_limit - control_limit
+        )
         self._caller_room = make_caller_room(
-            limit - check_limit - control_limit,
-            lambda: len(self._server_calls.connections),
+            caller_limit, lambda: len(self._server_calls.connections)
         )
+        control_limit, self._control_backlog = split_sockets(control_limit)
         self._control_room = make_caller_room(control_limit)
         self._caller_connections = self._caller_room.connections
         self._request_memory = make_memory_bound(
@@ -122,6 +124,7 @@
             weighs_stalls=True,
         )
         self._check_policy = CallerPolicy(CHECK_LIMITS)
+        check_limit, self._check_backlog = split_sockets(check_limit)
         self._check_room = make_caller_room(check_limit)
         self._check_memory = make_memory_bound(MAX_CHECKS_BYTES, weighs_stalls=True)
         self._servers = make_server_table()
@@ -280,13 +283,14 @@
         """
         loop = asyncio.get_running_loop()
         self._loop_watch.start()
-        for address, handler, room, policy, memory in (
+        for address, handler, room, policy, memory, backlog in (
             (
                 self._settings.caller_address,
                 self._handle_caller_request,
                 self._caller_room,
                 self._caller_policy,
                 self._request_memory,
+                self._caller_backlog,
             ),
             (
                 self._settings.readiness_address,
@@ -294,6 +298,7 @@
                 self._check_room,
                 self._check_policy,
                 self._check_memory,
+                self._check_backlog,
             ),
             (
                 self._settings.control_address,
@@ -301,6 +306,7 @@
                 self._control_room,
                 self._caller_policy,
                 self._request_memory,
+                self._control_backlog,
             ),
         ):
             if not address:
@@ -308,7 +314,7 @@
             host, port = split_address(address)
             make_connection = partial(CallerConnection, handler, policy, room, memory)
             listener = await loop.create_server(
-                make_connection, host, port, backlog=LISTEN_BACKLOG
+                make_connection, host, port, backlog=backlog
             )
             self._listeners.append(listener)
         await self._peers.start()
--- a/bilberryspring/policy/caller_room.py
+++ b/bilberryspring/policy/caller_room.py
@@ -19,6 +19,7 @@
     "choose_ended",
     "compute_connection_limit",
     "compute_memory_limit",
+    "split_sockets",
 ]
 
 # Descriptors that the platform keeps for files.
@@ -32,6 +33,8 @@
 MEMORY_SHARE = 0.25
 MIN_MEMORY_MIB = 4
 MIB = 1024 * 1024
+BACKLOG_SHARE = 0.25
+MAX_BACKLOG = 1024
 
 
 class CallerState(Enum):
@@ -107,6 +110,20 @@
     return max(sockets - KEPT_SOCKETS, sockets * 3 // 4)
 
 
+def split_sockets(sockets: int) -> tuple[int, int]:
+    """Return how many connections a listener keeps, and how many may wait for it.
+
+    Those that wait are accepted all at once, before others can be ended for them.
+
+    :param sockets: sockets that both may have.
+
+    >>> split_sockets(1000)
+    (750, 250)
+    """
+    backlog = min(max(int(sockets * BACKLOG_SHARE), 1), MAX_BACKLOG)
+    return sockets - backlog, backlog
+
+
 def compute_memory_limit(
     machine_mib: float,
     usual_bytes: int,
--- a/bilberryspring/process/http_server.py
+++ b/bilberryspring/process/http_server.py
@@ -32,10 +32,18 @@
     :param app: application with its routes.
     :param address: ``ip:port`` to listen on.
     :param protocol: class of the connections; ``None`` for that of Sanic.
+    :param backlog: connections that may wait to be accepted.
     """
 
-    def __init__(self, app: Sanic, address: str, protocol: type[HttpProtocol] | None):
+    def __init__(
+        self,
+        app: Sanic,
+        address: str,
+        protocol: type[HttpProtocol] | None,
+        backlog: int,
+    ):
         self.app = app
+        self._backlog = backlog
         self._protocol = protocol
         self.address = address
         self._server: AsyncioServer | None = None
@@ -50,7 +58,7 @@
             host=host,
             port=port,
             protocol=self._protocol,
-            backlog=LISTEN_BACKLOG,
+            backlog=self._backlog,
             access_log=False,
             return_asyncio_server=True,
             asyncio_server_kwargs={"start_serving": False},
@@ -122,12 +130,16 @@
 
 
 def make_http_server(
-    app: Sanic, address: str, protocol: type[HttpProtocol] | None = None
+    app: Sanic,
+    address: str,
+    protocol: type[HttpProtocol] | None = None,
+    backlog: int = LISTEN_BACKLOG,
 ) -> HttpServer:
     """Return a server that is not started.
 
     :param app: application with its routes.
     :param address: ``ip:port`` to listen on.
     :param protocol: class of the connections; ``None`` for that of Sanic.
+    :param backlog: connections that may wait to be accepted.
     """
-    return HttpServer(app, address, protocol)
+    return HttpServer(app, address, protocol, backlog)
--- a/bilberryspring/process/router.py
+++ b/bilberryspring/process/router.py
@@ -13,7 +13,7 @@
 from bilberryspring.connection.peers import make_peer_server
 from bilberryspring.connection.sanic_callers import make_room_protocol
 from bilberryspring.identifiers import PoolName
-from bilberryspring.policy.caller_room import compute_memory_limit
+from bilberryspring.policy.caller_room import compute_memory_limit, split_sockets
 from bilberryspring.process.administration import (
     MAX_BODY_BYTES as MAX_ADMINISTRATION_BODY_BYTES,
 )
@@ -73,8 +73,10 @@
         administration_limit = min(
             MAX_ADMINISTRATION_CONNECTIONS, int(limit * ADMINISTRATION_SHARE)
         )
-        self.caller_room = make_caller_room(
-            limit - administration_limit, lambda: len(self.peers)
+        caller_limit, caller_backlog = split_sockets(limit - administration_limit)
+        self.caller_room = make_caller_room(caller_limit, lambda: len(self.peers))
+        administration_limit, administration_backlog = split_sockets(
+            administration_limit
         )
         self.request_memory = make_memory_bound(
             compute_memory_limit(
@@ -89,6 +91,7 @@
             make_caller_application(self),
             settings.caller_address,
             make_room_protocol(self.caller_room, self.request_memory),
+            caller_backlog,
         )
         administration_memory = make_memory_bound(
             2 * MAX_ADMINISTRATION_BODY_BYTES, weighs_stalls=True
@@ -99,6 +102,7 @@
             make_room_protocol(
                 make_caller_room(administration_limit), administration_memory
             ),
+            administration_backlog,
         )
         self.request_latency = self.metrics.add_latency_histogram(
             "request_seconds", "Requests of callers", "rank", "result"
