Leave an empty list of cold servers out of reports

Routers choose how many others get a report by its size, and the empty list took three bytes of each.

--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -250,8 +250,10 @@
             for leaving in leavings
         ],
         limits=[encode_limit_report(limit) for limit in limits],
-        coldServers=[encode_cold_report(each) for each in cold_servers],
     )
+    if cold_servers:
+        # A list without entries would still take some bytes of each report.
+        message.coldServers = [encode_cold_report(each) for each in cold_servers]
     return message.to_bytes_packed()
 
 
