--- a/bilberryspring/connection/limit_messages.capnp
+++ b/bilberryspring/connection/limit_messages.capnp
@@ -16,7 +16,7 @@
 struct ColdServer {
   server @0 :UInt64;
   startedAtMs @1 :UInt64;
-  ratePerS @2 :Float64;
+  ratePerS @2 :Float32;
   # When it was observed; zero if it was warm.
   remainingMs @3 :UInt32;
   ageMs @4 :UInt32;
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -4,6 +4,7 @@
 contains over connections. Both are Cap'n Proto messages.
 """
 
+import math
 import zlib
 from dataclasses import dataclass
 from pathlib import Path
@@ -207,7 +208,8 @@
     """
     leavings, limits = report.leavings[:MAX_LEAVINGS], report.limits[:MAX_LIMITS]
     cold_servers = report.cold_servers[:MAX_COLD_SERVERS]
-    others = len(leavings) + len(limits) + len(cold_servers)
+    # Two cold servers take the space of five loads.
+    others = len(leavings) + len(limits) + math.ceil(2.5 * len(cold_servers))
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
--- a/bilberryspring/connection/tests/test_router_reports.py
+++ b/bilberryspring/connection/tests/test_router_reports.py
@@ -8,7 +8,9 @@
 
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection import router_reports
+from bilberryspring.connection.cold_messages import ColdReport
 from bilberryspring.connection.router_reports import (
+    MAX_COLD_SERVERS,
     MAX_CRASHES_PER_SUSPECT,
     MAX_LEAVINGS,
     MAX_LOADS,
@@ -48,6 +50,10 @@
             LeavingReport(2**63 + 5, 1_700_000_000_000, 7, StoreEpoch(0), 0.5),
             LeavingReport(3, 0, 0, None, 29.0),
         ),
+        cold_servers=(
+            ColdReport(2**63 + 7, 1_700_000_000_000, 12.5, 3.0, 0.25, 8, 2**31, True),
+            ColdReport(3, 0, 1e6, 0.0, 29.0),
+        ),
     )
     assert decode_report(encode_report(report)) == report
 
@@ -85,6 +91,11 @@
         ),
     )
     assert len(encode_report(report)) <= MAX_REPORT_BYTES
+    cold = ColdReport(
+        2**64 - 1, 2**64 - 1, 1e9 / 3, 299.9, 4e6, 2**32 - 1, 2**32 - 1, True
+    )
+    report = replace(report, cold_servers=(cold,) * MAX_COLD_SERVERS * 2)
+    assert len(encode_report(report)) <= MAX_REPORT_BYTES
 
 
 def test_snapshots_round_trip():
--- a/bilberryspring/process/credit_exchange.py
+++ b/bilberryspring/process/credit_exchange.py
@@ -417,11 +417,11 @@
             # The next ones learn that this router is back.
             for ip in ranked[number + 1 : number + 3]:
                 self._send(self._make_probe(key), ip)
-        is_hasty = self._rates.needs_votes(*key)
-        return all(
-            self._is_down(key, ip, now_s) or (is_hasty and self._is_silent(ip))
-            for ip in ranked[:number]
-        )
+        if not self._rates.needs_votes(*key):
+            return all(self._is_down(key, ip, now_s) for ip in ranked[:number])
+        # Votes keep two routers from giving credit, so that one probe each is enough.
+        before = [(self._is_down(key, ip, now_s), ip) for ip in ranked[:number]]
+        return all(is_down or self._is_silent(ip) for is_down, ip in before)
 
     def _is_silent(self, ip: str) -> bool:
         """Return whether a router did not answer the first of several probes."""
