--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -4,6 +4,7 @@
 contains over connections. Both are Cap'n Proto messages.
 """
 
+import math
 import zlib
 from dataclasses import dataclass
 from pathlib import Path
@@ -218,8 +219,10 @@
     leavings, limits = report.leavings[:MAX_LEAVINGS], report.limits[:MAX_LIMITS]
     evacuations = report.evacuations[:MAX_EVACUATIONS]
     cold_servers = report.cold_servers[:MAX_COLD_SERVERS]
-    load_count = MAX_LOADS - len(leavings) - len(limits) - len(cold_servers)
+    load_count = MAX_LOADS - len(leavings) - len(limits)
     load_count -= LOADS_PER_EVACUATION * len(evacuations)
+    # Two cold servers take the space of five loads.
+    load_count -= math.ceil(2.5 * len(cold_servers))
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
@@ -263,8 +266,10 @@
         ],
         limits=[encode_limit_report(limit) for limit in limits],
         evacuations=[encode_evacuation_report(each) for each in evacuations],
-        coldServers=[encode_cold_report(each) for each in cold_servers],
     )
+    if cold_servers:
+        # A list without entries would still take some bytes of each report.
+        message.coldServers = [encode_cold_report(each) for each in cold_servers]
     return message.to_bytes_packed()
 
 
