--- a/bilberryspring/request/tests/test_dispatcher.py
+++ b/bilberryspring/request/tests/test_dispatcher.py
@@ -7,6 +7,8 @@
 
 from bilberryspring.capability.routing import ExecutionRule
 from bilberryspring.policy.direct_placement import LOAD_LIMIT_MARGIN_REQUESTS
+from bilberryspring.policy.request_cost import StartTerms
+from bilberryspring.policy.server_eligibility import Exclusion
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.server_table import make_server_table
 from bilberryspring.request.dispatcher import make_dispatcher
@@ -395,3 +397,50 @@
     began_s = asyncio.get_running_loop().time()
     assert (await acquire(dispatcher, request)).kind is ErrorKind.OVERLOADED
     assert asyncio.get_running_loop().time() - began_s < 0.3
+
+
+async def test_decision_names_the_reason_of_each_server_and_reserves_nothing():
+    names = ("tried", "paused", "suspected", "full", "free")
+    dispatcher, table = make_dispatcher_and_table([make_server(each) for each in names])
+    loop = asyncio.get_running_loop()
+    table.pause(table.records["paused"], 5.0)
+    table.records["suspected"].avoided_until_s = loop.time() + 5.0
+    table.records["full"].requests = 4 * MAX_REQUESTS_PER_SLOT
+    request = make_request(make_route())
+    request.tried_server_ids.add("tried")
+    before = {name: record.requests for name, record in table.records.items()}
+    decision = dispatcher.decide(request, SERVICE_POOL)
+    assert decision.exclusions == {
+        "tried": Exclusion.TRIED,
+        "paused": Exclusion.PAUSED,
+        "suspected": Exclusion.SUSPECTED,
+        "full": Exclusion.NO_ROOM,
+    }
+    assert [each.server_id for each in decision.candidates] == ["free"]
+    assert decision.reservation.record.server.server_id == "free"
+    assert {name: each.requests for name, each in table.records.items()} == before
+    assert not dispatcher._planner.usage["desk"].get_usage(None, loop.time())
+
+
+async def test_decision_names_servers_beyond_the_load_bound():
+    dispatcher, table = make_dispatcher_and_table([make_server("a"), make_server("b")])
+    dispatcher.set_load_factor(0.1)
+    for record in table.records.values():
+        record.requests = 5
+    decision = dispatcher.decide(make_request(make_route()), SERVICE_POOL)
+    assert decision.failure.kind is ErrorKind.LOAD_BOUND
+    assert set(decision.exclusions.values()) == {Exclusion.LOAD_BOUND}
+
+
+async def test_start_of_an_engine_is_predicted_from_what_it_still_has_to_read():
+    dispatcher, table = make_dispatcher_and_table(
+        [make_server("busy", ENGINE_POOL.name), make_server("idle", ENGINE_POOL.name)]
+    )
+    table.records["busy"].peer_load.prompt_tokens = 30_000
+    request = make_prompt_request(make_prompt(("own", 100)))
+    slow_s, terms = 1.0, StartTerms(100, 10_000, 0)
+    for _ in range(50):
+        dispatcher.costs.record_start(request, ENGINE_POOL.name, terms, slow_s)
+    decision = dispatcher.decide(request, ENGINE_POOL)
+    start_s = {each.server_id: each.predicted_start_s for each in decision.candidates}
+    assert start_s["busy"] - start_s["idle"] > 1.0
