--- a/bilberryspring/policy/tests/test_request_cost.py
+++ b/bilberryspring/policy/tests/test_request_cost.py
@@ -13,10 +13,8 @@
     correct_start,
     predict_start_s,
 )
-from bilberryspring.request.cost_estimates import (
-    MAX_CORRECTIONS,
-    make_cost_estimates,
-)
+from bilberryspring.request import cost_estimates
+from bilberryspring.request.cost_estimates import make_cost_estimates
 from bilberryspring.request.tests.relay_fixtures import (
     make_prompt,
     make_request,
@@ -98,11 +96,13 @@
     assert 1 <= predicted <= (reserved or max(hint, 1))
 
 
-def test_corrections_are_bounded_and_fade():
+def test_corrections_are_bounded_and_fade(monkeypatch):
+    monkeypatch.setattr(cost_estimates, "MAX_CORRECTIONS", 50)
     now_s = 0.0
     costs = make_cost_estimates(lambda: now_s)
-    for number in range(MAX_CORRECTIONS):
+    for number in range(500):
         costs.record_output(make_hinted(f"w{number}", 10), 1_000)
-    assert len(costs._corrections) <= MAX_CORRECTIONS
+    assert len(costs._corrections) == 50
+    assert costs.predict_output_tokens(make_hinted("w499", 10)) > 20
     now_s = 600.0
-    assert costs.predict_output_tokens(make_hinted("w1", 10)) == 10
+    assert costs.predict_output_tokens(make_hinted("w499", 10)) == 10
