--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -289,7 +289,7 @@
             if not self._has_capacity(record, reservation, request, pool, is_heavy):
                 decision.exclusions[server_id] = Exclusion.NO_ROOM
                 continue
-            requests = record.total_requests
+            requests = record.requests + record.peer_load.requests
             slowness = record.compute_slowness(now_s)
             if is_plain:
                 slowness *= record.predict_work_time_ratio(now_s)
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -134,7 +134,7 @@
     else:
         missing_s = missing_tokens * coefficients.read_s
         prefill_tokens = own_tokens + missing_tokens
-    cached_tokens = max(prompt.input_tokens - own_tokens - missing_tokens, 0)
+    cached_tokens = prompt.input_tokens - own_tokens - missing_tokens
     expected_s = (
         coefficients.base_s
         + cached_tokens * coefficients.cached_s
