Keep connections to servers for as long as the servers announce

Cause: servers announce 10 s, connections were closed after 4 s, and before a request that must not run twice after 1 s.

Change: the announced time less 1 s holds for all requests, 30 s at most; 4 s and 1 s stay where nothing is announced. Two connections a server are kept beyond 4 s, those of a burst are not.

With the former limits both new tests fail by reading; this was not run.

--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -41,12 +41,18 @@
 # keep-alive timeout in whole seconds, if at all.
 MAX_IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
-# A server may close an idle connection without this router noticing. A request that
-# must not run twice reuses a connection only if it was used within this time.
+# Longest use of a timeout that a server announces.
+MAX_ANNOUNCED_IDLE_S = 30.0
+# A server that announces no timeout may close an idle connection without this router
+# noticing. A request that must not run twice reuses a connection of such a server only
+# if it was used within this time.
 MAX_IDLE_BEFORE_ONCE_S = 1.0
 # A crashed server refuses a connection at once; a machine without power never responds.
 PROBE_TIMEOUT_S = 0.15
 MAX_IDLE_CONNECTIONS = 16
+# Idle connections to one server that are kept for as long as it announces; the others
+# serve bursts, and a server accepts a limited number from all routers together.
+MAX_LONG_IDLE_CONNECTIONS = 2
 # Memory of all responses of servers that have been received and not passed on.
 MAX_RESPONSES_BYTES = 48 * 1024 * 1024
 MISDIRECTED_STATUS = 421
@@ -315,7 +321,12 @@
         """Close connections that have been idle for too long."""
         now_s = asyncio.get_running_loop().time()
         for address, idle in list(self._idle_connections.items()):
-            while idle and not _is_usable(idle[0], now_s, MAX_IDLE_S):
+            while idle and not _is_usable(idle[0], now_s):
+                idle.popleft().close()
+            while (
+                len(idle) > MAX_LONG_IDLE_CONNECTIONS
+                and now_s - idle[0].idle_since_s > MAX_IDLE_S
+            ):
                 idle.popleft().close()
             if not idle:
                 del self._idle_connections[address]
@@ -331,24 +342,26 @@
         self, server: BackendServer, request: IncomingRequest
     ) -> BackendConnection | None:
         idle = self._idle_connections.get((server.host, server.port))
-        max_idle_s = (
-            MAX_IDLE_S if request.route.is_repeatable else MAX_IDLE_BEFORE_ONCE_S
-        )
         now_s = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
-            if _is_usable(connection, now_s, max_idle_s):
+            if _is_usable(connection, now_s, request.route.is_repeatable):
                 return connection
             connection.close()
         return None
 
 
-def _is_usable(connection: BackendConnection, now_s: float, max_idle_s: float) -> bool:
+def _is_usable(
+    connection: BackendConnection, now_s: float, is_repeatable: bool = True
+) -> bool:
+    """Return whether a request may be sent on an idle connection."""
+    if not connection.is_reusable:
+        return False
+    idle_s = now_s - connection.idle_since_s
     if connection.keep_alive_timeout_s is not None:
-        max_idle_s = min(
-            max_idle_s, connection.keep_alive_timeout_s - KEEP_ALIVE_MARGIN_S
-        )
-    return connection.is_reusable and now_s - connection.idle_since_s <= max_idle_s
+        announced_s = connection.keep_alive_timeout_s - KEEP_ALIVE_MARGIN_S
+        return idle_s <= min(announced_s, MAX_ANNOUNCED_IDLE_S)
+    return idle_s <= (MAX_IDLE_S if is_repeatable else MAX_IDLE_BEFORE_ONCE_S)
 
 
 def _encode_request(
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -132,6 +132,41 @@
     assert scripted_server.connections == connections
 
 
+@pytest.mark.parametrize("rule", [ExecutionRule.ONCE, ExecutionRule.REPEATABLE])
+async def test_connection_is_kept_for_as_long_as_its_server_announces(
+    start, monkeypatch, rule
+):
+    monkeypatch.setattr(backend_calls, "MAX_IDLE_S", 0.05)
+    monkeypatch.setattr(backend_calls, "MAX_IDLE_BEFORE_ONCE_S", 0.05)
+    monkeypatch.setattr(backend_calls, "KEEP_ALIVE_MARGIN_S", 0.7)
+    announced = [make_response(name, "Keep-Alive: timeout=1\r\n") for name in "abc"]
+    scripted_server = ScriptedServer(*announced)
+    server, calls = await start(scripted_server)
+    await send_request(calls, server, "a", rule)
+    await asyncio.sleep(0.15)
+    calls.close_idle()
+    await send_request(calls, server, "b", rule)
+    assert scripted_server.connections == 1
+    # Less than the margin is left of the announced time.
+    await asyncio.sleep(0.35)
+    await send_request(calls, server, "c", rule)
+    assert scripted_server.connections == 2
+
+
+async def test_connections_of_a_burst_are_not_kept_for_long(start, monkeypatch):
+    monkeypatch.setattr(backend_calls, "MAX_IDLE_S", 0.05)
+    kept = backend_calls.MAX_LONG_IDLE_CONNECTIONS
+    responses = [make_response(name, "Keep-Alive: timeout=9\r\n") for name in "abcde"]
+    server, calls = await start(ScriptedServer(*responses))
+    connections = [await calls._open_connection(server, 1.0) for _ in range(kept + 3)]
+    for connection in connections:
+        connection.keep_alive_timeout_s = 9.0
+        calls.release_connection(server, connection)
+    await asyncio.sleep(0.1)
+    calls.close_idle()
+    assert [each.is_reusable for each in connections] == [False] * 3 + [True] * kept
+
+
 async def test_request_that_must_run_once_uses_recent_connections_only(
     start, monkeypatch
 ):
