Tell routers which engines hold shared parts of prompts

Evictions and simultaneous first reads were few.

An engine that is known to hold the prefix has nothing to read in the predicted start. Prompt.shared_tokens is computed once.

fleet_replay now records the parts of a response, as the relay does.

--- a/bilberryspring/capability/routing.py
+++ b/bilberryspring/capability/routing.py
@@ -262,6 +262,7 @@
     :param parts: parts of the prompt in order; the last one is specific to the request.
     :param hinted_output_tokens: the caller's estimate of the number of output tokens;
         zero for none.
+    :ivar shared_tokens: number of tokens in the parts that other requests may share.
     """
 
     model: ModelName
@@ -269,11 +270,11 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     hinted_output_tokens: int = 0
+    shared_tokens: int = field(init=False)
 
-    @property
-    def shared_tokens(self) -> int:
-        """Number of tokens in the parts that other requests may share."""
-        return sum(part.tokens for part in self.parts[:-1])
+    def __post_init__(self) -> None:
+        shared_tokens = sum(part.tokens for part in self.parts[:-1])
+        object.__setattr__(self, "shared_tokens", shared_tokens)
 
 
 @dataclass(slots=True)
--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -20,6 +20,17 @@
   nextStoreEpoch @11 :UInt64;
   leavings @12 :List(ServerLeaving);
   limits @13 :List(LimitStatement);
+  # Set by the parts on evacuated zones and on cold servers.
+  evacuations @14 :Void;
+  coldServers @15 :Void;
+  cachedParts @16 :List(CachedPart);
+}
+
+struct CachedPart {
+  server @0 :UInt64;
+  part @1 :UInt32;
+  tokens @2 :UInt16;
+  ageMs @3 :UInt16;
 }
 
 struct ServerLeaving {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -11,6 +11,11 @@
 import capnp
 
 from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.cached_part_messages import (
+    CachedPartReport,
+    decode_cached_part,
+    encode_cached_part,
+)
 from bilberryspring.connection.limit_messages import (
     LimitReport,
     decode_limit_report,
@@ -42,6 +47,7 @@
 MAX_SUSPECTS = 6
 MAX_LEAVINGS = 4
 MAX_LIMITS = 8
+MAX_CACHED_PARTS = 16
 MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
@@ -142,6 +148,7 @@
         if that is not known.
     :param leavings: servers that left before the store was restored.
     :param limits: statements of servers on the rate of requests that they take.
+    :param cached_parts: parts of prompts that engines hold.
     """
 
     sender: InstanceId
@@ -158,6 +165,7 @@
     store_epoch: StoreEpoch | None = None
     leavings: tuple[LeavingReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    cached_parts: tuple[CachedPartReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +206,10 @@
     :returns: packed Cap'n Proto bytes.
     """
     leavings, limits = report.leavings[:MAX_LEAVINGS], report.limits[:MAX_LIMITS]
+    load_count = MAX_LOADS - len(leavings) - len(limits)
+    # An entry of a part is about as long as one of a load.
+    cached_parts = report.cached_parts[:MAX_CACHED_PARTS]
+    load_count -= len(cached_parts)
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
@@ -218,7 +230,7 @@
                 "heldTokens": min(load.held_tokens, 0xFFFF_FFFF),
                 "isSuspected": load.is_suspected,
             }
-            for load in report.loads[: MAX_LOADS - len(leavings) - len(limits)]
+            for load in report.loads[: max(load_count, 0)]
         ],
         statements=[
             {
@@ -240,6 +252,7 @@
             for leaving in leavings
         ],
         limits=[encode_limit_report(limit) for limit in limits],
+        cachedParts=[encode_cached_part(each) for each in cached_parts],
     )
     return message.to_bytes_packed()
 
@@ -336,6 +349,9 @@
                 for leaving in message.leavings
             ),
             limits=tuple(decode_limit_report(limit) for limit in message.limits),
+            cached_parts=tuple(
+                decode_cached_part(each) for each in message.cachedParts
+            ),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -349,6 +365,7 @@
         ("suspects", len(message.suspects), MAX_SUSPECTS),
         ("leavings", len(message.leavings), MAX_LEAVINGS),
         ("limits", len(message.limits), MAX_LIMITS),
+        ("cached parts", len(message.cachedParts), MAX_CACHED_PARTS),
     ]
     if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -191,6 +191,24 @@
                 "Servers that limit the rate of requests",
                 self._servers.limits.count_limited,
             ),
+            "prompt_parts_known": (
+                "Parts of prompts of which an engine is known that holds them",
+                lambda: len(self._servers.cached_parts),
+            ),
+            "part_holders_learned": (
+                "Engines that hold a part first named by other routers",
+                lambda: self._servers.cached_parts.learned_count,
+            ),
+            "part_fetches": (
+                "Requests sent with an engine to fetch parts of the prompt from",
+                lambda: {
+                    (evidence,): count
+                    for evidence, count in (
+                        self._servers.cached_parts.fetch_counts.items()
+                    )
+                },
+                "source",
+            ),
             "routers": ("Routers known", self._peers.count_routers),
             "caller_connections": (
                 "Open connections of callers",
--- a/bilberryspring/policy/tests/fleet_replay.py
+++ b/bilberryspring/policy/tests/fleet_replay.py
@@ -489,9 +489,18 @@
                 result.returned.append(loop.time() - server.shedding_end_s)
             begun_s = []
 
-            def state(load, record=place.record, begun_s=begun_s):
+            def state(load, place=place, begun_s=begun_s):
+                record = place.record
                 if is_counted:
                     begun_s.append(loop.time() - arrival_s)
+                if place.shares_parts and fleet.chat_kinds:
+                    loop.call_later(
+                        NETWORK_DELAY_S,
+                        router.table.record_cached_parts,
+                        record,
+                        prompt,
+                        place.is_home,
+                    )
                 loop.call_later(
                     NETWORK_DELAY_S, router.table.update_server_load, record, load
                 )
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -16,6 +16,7 @@
 from bilberryspring.connection.limit_messages import CREDIT_PREFIX
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import (
+    MAX_CACHED_PARTS,
     MAX_LEAVINGS,
     MAX_LIMITS,
     MAX_LOADS,
@@ -67,6 +68,8 @@
 # Routers that watch the server list in the store; the others get it from them.
 WATCHER_COUNT = 2
 MAX_LOGGED_CHARACTERS = 80
+# Entries on parts of prompts that a report has place for besides many loads.
+MIN_CACHED_PARTS = 4
 
 
 @dataclass(slots=True)
@@ -277,6 +280,7 @@
         self._suspects.merge(report.suspects)
         self._servers.merge_leavings(report.leavings)
         self._servers.limits.merge(report.limits, report.sender)
+        self._servers.cached_parts.merge(report.cached_parts)
 
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
@@ -338,6 +342,9 @@
             MAX_LEAVINGS, self._feed.store_epoch
         )
         limits = self._servers.limits.list_reports(MAX_LIMITS)
+        cached_parts = self._servers.cached_parts.list_reports(
+            min(max(MAX_LOADS - len(loads), MIN_CACHED_PARTS), MAX_CACHED_PARTS)
+        )
         self._sequence += 1
         data = encode_report(
             RouterReport(
@@ -355,11 +362,12 @@
                 self._feed.store_epoch,
                 leavings,
                 limits,
+                cached_parts=cached_parts,
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
         fanout = min(_choose_fanout(size_bytes), len(targets))
-        if suspects or leavings or limits:
+        if suspects or leavings or limits or cached_parts:
             affordable = max(int(self._budget_bytes // size_bytes), 0)
             fanout = min(fanout, affordable if is_news else max(affordable, 1))
         if not is_news:
@@ -367,6 +375,7 @@
         self._budget_bytes -= fanout * size_bytes
         if fanout:
             self._servers.limits.mark_reported(limits)
+            self._servers.cached_parts.mark_reported(cached_parts)
         for ip in random.sample(targets, fanout):
             self._transport.sendto(data, (ip, self._port))
 
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 import xxhash
@@ -12,6 +12,7 @@
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import LeavingReport
 from bilberryspring.identifiers import InstanceId, PoolName, StoreEpoch
+from bilberryspring.policy.cached_parts import PartHolder, choose_fetch_source
 from bilberryspring.policy.load_estimate import (
     DEFAULT_LOAD_ESTIMATOR,
     LOAD_ESTIMATORS,
@@ -19,6 +20,7 @@
     LoadEvidence,
     predict_work_time_ratio,
 )
+from bilberryspring.process.cached_parts import make_cached_parts
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.server_leavings import (
     LeavingSource,
@@ -28,7 +30,9 @@
 from bilberryspring.process.server_pauses import ServerPause, make_server_pauses
 
 __all__ = [
+    "NO_HOLDERS",
     "LoadStatement",
+    "PartHolders",
     "PeerLoad",
     "ServerRecord",
     "ServerTable",
@@ -245,6 +249,15 @@
         """
         return now_s < self.avoided_until_s or self.is_silent(now_s)
 
+    def can_be_fetched_from(self, now_s: float) -> bool:
+        """Return whether other engines may fetch cached parts from it.
+
+        A transfer is work for it, so a server in a pause is no source.
+
+        :param now_s: monotonic time.
+        """
+        return not self.is_avoided(now_s) and not self.pause.is_active(now_s)
+
     def is_suspected_locally(self, now_s: float) -> bool:
         """Return whether this router itself observed failures or a timeout of it.
 
@@ -385,6 +398,22 @@
             )
 
 
+@dataclass(frozen=True, slots=True)
+class PartHolders:
+    """Engines that are known to hold the first shared parts of a prompt.
+
+    :param tokens: number of tokens of the prompt that each holds, by server id.
+    :param source: engine for others to fetch from; ``None`` if there is none.
+    :param source_tokens: number of tokens that the source holds.
+    """
+
+    tokens: Mapping[InstanceId, int] = field(default_factory=dict)
+    source: ServerRecord | None = None
+    source_tokens: int = 0
+
+
+NO_HOLDERS = PartHolders()
+
 _BOUND_REASONS = {
     LeavingSource.STORE: "it left later than the list that names it was read",
     LeavingSource.SERVER: "it stated that it leaves",
@@ -416,6 +445,7 @@
     :param read_clock: monotonic clock, in seconds.
     :ivar leavings: servers that left.
     :ivar limits: rates of requests that servers stated as their limit.
+    :ivar cached_parts: parts of prompts that engines hold.
     """
 
     def __init__(
@@ -429,12 +459,18 @@
         self.records: dict[InstanceId, ServerRecord] = {}
         self.leavings = make_server_leavings(read_clock)
         self.limits = make_server_limits(read_clock, self._find_name)
+        self.cached_parts = make_cached_parts(read_clock)
         self._listed: dict[InstanceId, _ListedServer] = {}
         self._ready_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._all_by_pool: dict[PoolName, list[ServerRecord]] = {}
         self._digest = 0
         self._is_index_current = False
         self._pauses = make_server_pauses()
+        self._found_holders: tuple[Prompt | None, float, PartHolders] = (
+            None,
+            0.0,
+            NO_HOLDERS,
+        )
 
     def put(
         self,
@@ -497,6 +533,8 @@
         record = self.records.get(server_id)
         is_changed = record is None or record.server != server
         if record is None or _is_restarted(record.server, server):
+            if record is not None:
+                self.cached_parts.forget(hash_name(server_id))
             pause = self._pauses.get(server)
             record = ServerRecord(server, self._read_clock(), pause=pause)
             self.records[server_id] = record
@@ -531,6 +569,7 @@
         record = self.records.pop(server_id, None)
         if record is None:
             return
+        self.cached_parts.forget(hash_name(server_id))
         if left_in is not None:
             self.leavings.record(record.server, left_in)
         log_event("backend_state", server=server_id, is_ready=False, reason=reason)
@@ -618,6 +657,45 @@
         self._rebuild_index()
         return self._records_by_hash.get(server)
 
+    def record_cached_parts(
+        self, record: ServerRecord, prompt: Prompt, is_home: bool = False
+    ) -> None:
+        """Record that an engine began a response, so that it holds the prompt's parts.
+
+        :param record: the engine's record when the request was sent.
+        :param prompt: prompt of the request.
+        :param is_home: whether other routers expect it to hold them.
+        """
+        if self.records.get(record.server.server_id) is record:
+            self.cached_parts.record_response(record.server, prompt, is_home)
+
+    def find_part_holders(self, prompt: Prompt, now_s: float) -> PartHolders:
+        """Return the listed engines that hold the first shared parts of a prompt.
+
+        :param prompt: prompt of a request; repeated calls with the same one and the
+            same time are fast.
+        :param now_s: monotonic time.
+        """
+        found_prompt, found_s, found = self._found_holders
+        if found_prompt is prompt and found_s == now_s:
+            return found
+        holders, records = [], {}
+        for server, tokens in self.cached_parts.find_holders(prompt):
+            record = self.find_by_hash(server)
+            if record is not None:
+                server_id = record.server.server_id
+                records[server_id] = record
+                is_usable = record.can_be_fetched_from(now_s)
+                holders.append(PartHolder(server_id, tokens, is_usable))
+        source = choose_fetch_source(holders)
+        found = PartHolders(
+            {holder.server_id: holder.tokens for holder in holders},
+            None if source is None else records[source.server_id],
+            0 if source is None else source.tokens,
+        )
+        self._found_holders = (prompt, now_s, found)
+        return found
+
     def _find_name(self, server: NameHash) -> str:
         record = self.find_by_hash(server)
         return f"{server:016x}" if record is None else record.server.server_id
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -40,7 +40,11 @@
     ServerKey,
     make_credit_exchange,
 )
-from bilberryspring.process.server_table import ServerRecord, ServerTable
+from bilberryspring.process.server_table import (
+    NO_HOLDERS,
+    ServerRecord,
+    ServerTable,
+)
 from bilberryspring.request.decaying_sum import DecayingSum
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.load_shedding import LoadShedder, make_load_shedder
@@ -797,8 +801,11 @@
         if request.prompt is None or pool.engine is None:
             return Reservation(record, 0, 0, self.get_mean_service_s(pool.name))
         others = self._servers.list_ready(pool.name)
+        holders = NO_HOLDERS
+        if pool.engine.can_fetch:
+            holders = self._servers.find_part_holders(request.prompt, now_s)
         return plan_reservation(
-            record, request.prompt, pool.engine, homes, others, now_s
+            record, request.prompt, pool.engine, homes, others, now_s, holders
         )
 
     def _predict_start_s(self, reservation: Reservation, pool: PoolLimits) -> float:
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -415,6 +415,8 @@
                 self._dispatcher.release(reservation)
         request.attempts += 1
         record.record_sent(attempt, request.prompt, loop.time())
+        if reservation.fetch_from is not None:
+            self._servers.cached_parts.count_fetch(is_known=reservation.is_source_known)
         log_event(
             "request_sent",
             request_id=request.request_id,
@@ -427,6 +429,7 @@
             slowness=record.slowness,
             expected_s=reservation.expected_s,
             prompt_tokens=reservation.prompt_tokens,
+            fetch_from=reservation.describe_source(),
             paused_servers=reservation.paused_servers,
             limited_servers=reservation.limited_servers,
         )
@@ -606,7 +609,10 @@
                 await answer.write(splitter.take_partial())
                 answer.finish()
                 return _SUCCESS
-            reservation.mark_prefill_done()
+            if reservation.mark_prefill_done() and reservation.shares_parts:
+                self._servers.record_cached_parts(
+                    reservation.record, request.prompt, reservation.is_home
+                )
             events = splitter.feed(chunk)
             if splitter.is_continuation_wrong:
                 reason = f"its stream does not go on after event {splitter.last_id}"
--- a/bilberryspring/request/reservations.py
+++ b/bilberryspring/request/reservations.py
@@ -5,7 +5,7 @@
 
 from bilberryspring.capability.routing import EngineLimits, Prompt
 from bilberryspring.policy.direct_placement import rank_homes
-from bilberryspring.process.server_table import ServerRecord
+from bilberryspring.process.server_table import NO_HOLDERS, PartHolders, ServerRecord
 
 __all__ = [
     "ENGINE_BASE_LATENCY_S",
@@ -27,6 +27,9 @@
 # Factor on the time for shared prompt parts that an engine lacks: prefilling or copying
 # them delays every request that runs there and stores the parts a second time.
 MISSING_PREFIX_WEIGHT = 4.0
+# An engine that is known to cache less than this share of the shared parts is a source
+# only if no engine is expected to cache more.
+KNOWN_SOURCE_SHARE = 0.5
 # An engine listed for less time may lack parts for which it has become the home.
 CACHE_FILL_S = 15.0
 
@@ -45,6 +48,9 @@
     :param missing_prefix_s: part of ``expected_s`` that is spent on shared prompt parts
         which the server lacks.
     :param fetch_from: engine to copy the missing parts from, ``None`` to prefill them.
+    :param shares_parts: whether engines of the pool can fetch parts from this one.
+    :param is_home: whether other routers expect the engine to cache the shared parts.
+    :param is_source_known: whether a response showed that ``fetch_from`` cached them.
     :param is_prefill_done: whether the response has begun, so that ``prompt_tokens`` no
         longer count as pending on the server.
     :param trial: return of the server after a pause that the request belongs to;
@@ -68,6 +74,9 @@
     expected_s: float
     missing_prefix_s: float = 0.0
     fetch_from: ServerRecord | None = None
+    shares_parts: bool = False
+    is_home: bool = False
+    is_source_known: bool = False
     is_prefill_done: bool = False
     trial: int | None = None
     paused_servers: str = ""
@@ -77,11 +86,23 @@
     mean_requests: float = 0.0
     servers_without_room: int = 0
 
-    def mark_prefill_done(self) -> None:
-        """Record that the response has begun, so that no prefill is pending."""
-        if not self.is_prefill_done:
-            self.is_prefill_done = True
-            self.record.prompt_tokens -= self.prompt_tokens
+    def mark_prefill_done(self) -> bool:
+        """Record that the response has begun, so that no prefill is pending.
+
+        :returns: whether it was not recorded before.
+        """
+        if self.is_prefill_done:
+            return False
+        self.is_prefill_done = True
+        self.record.prompt_tokens -= self.prompt_tokens
+        return True
+
+    def describe_source(self) -> str:
+        """Return the engine to copy parts from and why it is chosen, for the log."""
+        if self.fetch_from is None:
+            return ""
+        reason = "known" if self.is_source_known else "guessed"
+        return f"{self.fetch_from.server.server_id} ({reason})"
 
     def settle_trial(self, *, is_accepted: bool) -> None:
         """Record the first answer to the request, or its end without one.
@@ -100,6 +121,7 @@
     homes: Sequence[ServerRecord],
     others: Sequence[ServerRecord],
     now_s: float,
+    holders: PartHolders = NO_HOLDERS,
 ) -> Reservation:
     """Estimate what a request needs on an engine.
 
@@ -109,18 +131,27 @@
     :param homes: home engines of the prompt's shared parts, the preferred one first.
     :param others: engines of the pool that accept new work.
     :param now_s: monotonic time.
+    :param holders: engines that are known to hold parts of the prompt.
     :returns: the reservation; nothing is counted on the engine yet.
     """
     shared = prompt.shared_tokens
-    known = record.count_cached_tokens(prompt)
+    known = max(
+        record.count_cached_tokens(prompt),
+        holders.tokens.get(record.server.server_id, 0),
+    )
     is_first_home = record is next((h for h in homes if h.server.is_ready), None)
     cached = max(known, shared) if is_first_home else known
-    source = None
+    source = holder = None
     if engine.can_fetch and known < shared:
-        source = _find_fetch_source(record, prompt, homes, others, now_s)
+        holder = holders.source if holders.source_tokens > known else None
+        if holder is None or holders.source_tokens < KNOWN_SOURCE_SHARE * shared:
+            source = _find_fetch_source(record, prompt, homes, others, now_s)
+        source = source or holder
     missing_tokens = max(shared - cached, 0)
     own_tokens = max(prompt.input_tokens - max(cached, shared), 0)
-    if source is not None:
+    # What is known of other engines doesn't make the home a worse choice.
+    is_known_at_home = is_first_home and source is holder
+    if source is not None and not is_known_at_home:
         missing_s = (
             CACHE_TRANSFER_START_S + missing_tokens / CACHE_TRANSFER_TOKENS_PER_S
         )
@@ -133,7 +164,15 @@
     )
     expected_s = ENGINE_BASE_LATENCY_S + own_tokens / PREFILL_TOKENS_PER_S + missing_s
     return Reservation(
-        record, prefill_tokens, held_tokens, expected_s, missing_s, source
+        record,
+        prefill_tokens,
+        held_tokens,
+        expected_s,
+        missing_s,
+        source,
+        shares_parts=engine.can_fetch,
+        is_home=is_first_home and now_s - record.listed_s > CACHE_FILL_S,
+        is_source_known=source is not None and source is holder,
     )
 
 
@@ -150,20 +189,15 @@
         if home is record:
             if is_cache_filled:
                 break
-        elif _can_be_fetched_from(home, now_s):
+        elif home.can_be_fetched_from(now_s):
             return home
     best = max(others, key=lambda each: each.count_cached_tokens(prompt), default=None)
-    if best is None or best is record or not _can_be_fetched_from(best, now_s):
+    if best is None or best is record or not best.can_be_fetched_from(now_s):
         return None
     known = record.count_cached_tokens(prompt)
     return best if best.count_cached_tokens(prompt) > known else None
 
 
-def _can_be_fetched_from(record: ServerRecord, now_s: float) -> bool:
-    # A transfer is work for its source, so a server in a pause is none.
-    return not record.is_avoided(now_s) and not record.pause.is_active(now_s)
-
-
 def predict_engine_start_s(reservation: Reservation) -> float:
     """Predict the time until an engine of typical speed begins its response.
 
--- a/bilberryspring/request/tests/test_dispatcher.py
+++ b/bilberryspring/request/tests/test_dispatcher.py
@@ -169,6 +169,57 @@
     pytest.fail("no new server became the home")
 
 
+async def test_home_fetches_from_the_engine_that_another_router_named():
+    servers = [make_server(name, "writers") for name in "abcde"]
+    dispatcher, table = make_dispatcher_and_table(servers)
+    _, other = make_dispatcher_and_table(servers)
+    prompt = make_prompt(SYSTEM_PART, SESSION_PART, ("own", 100))
+    request = make_prompt_request(prompt)
+    home = (await acquire(dispatcher, request, ENGINE_POOL)).record
+    assert request.fetch_from is None
+    holder = next(each for each in other.records.values() if each.server != home.server)
+    other.record_cached_parts(holder, prompt)
+    table.cached_parts.merge(other.cached_parts.list_reports(9))
+    request = make_prompt_request(replace(prompt))
+    found = await acquire(dispatcher, request, ENGINE_POOL)
+    assert found.record is home and found.is_source_known
+    assert request.fetch_from == holder.server
+
+
+async def test_engine_that_restarted_is_no_source():
+    servers = [make_server(name, "writers") for name in "abcde"]
+    dispatcher, table = make_dispatcher_and_table(servers)
+    prompt = make_prompt(SYSTEM_PART, SESSION_PART, ("own", 100))
+    home = (await acquire(dispatcher, make_prompt_request(prompt), ENGINE_POOL)).record
+    holder = next(each for each in table.records.values() if each is not home)
+    table.record_cached_parts(holder, prompt)
+    table.put(replace(holder.server, started_at_ms=5000))
+    request = make_prompt_request(replace(prompt))
+    found = await acquire(dispatcher, request, ENGINE_POOL)
+    assert found.record is home and request.fetch_from is None
+
+
+async def test_source_of_a_short_part_gives_way_to_the_home_of_the_long_one():
+    servers = [make_server(name, "writers") for name in "abcde"]
+    dispatcher, table = make_dispatcher_and_table(servers)
+    prompt = make_prompt(SYSTEM_PART, SESSION_PART, ("own", 100))
+    home = (await acquire(dispatcher, make_prompt_request(prompt), ENGINE_POOL)).record
+    home.prompt_tokens += 200_000
+    request = make_prompt_request(prompt)
+    reserved = await acquire(dispatcher, request, ENGINE_POOL)
+    dispatcher.release(reserved)
+    holder = next(
+        each
+        for each in table.records.values()
+        if each is not home and each is not reserved.record
+    )
+    other_chat = make_prompt(SYSTEM_PART, ("other", 9000), ("own", 100))
+    table.record_cached_parts(holder, other_chat)
+    request = make_prompt_request(replace(prompt))
+    assert (await acquire(dispatcher, request, ENGINE_POOL)).record is reserved.record
+    assert request.fetch_from == home.server
+
+
 async def test_nothing_is_fetched_from_an_avoided_server():
     servers = [make_server(name, "writers") for name in "ab"]
     dispatcher, table = make_dispatcher_and_table(servers)
--- a/bilberryspring/tests/test_odd_input.py
+++ b/bilberryspring/tests/test_odd_input.py
@@ -12,6 +12,7 @@
 
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.cache_directory_messages import decode_location
+from bilberryspring.connection.cached_part_messages import CachedPartReport
 from bilberryspring.connection.claim_messages import (
     decode_key_transaction,
     decode_key_transaction_result,
@@ -126,7 +127,10 @@
     "weight": 1.0,
 }
 LIMIT = LimitReport(1, 2, 5.4, 0.2, 0.1, 9)
-REPORT = RouterReport("front-1", 1, 1, 1, 2, (), limits=(LIMIT,))
+CACHED_PART = CachedPartReport(1, 2, 9000, 0.2)
+REPORT = RouterReport(
+    "front-1", 1, 1, 1, 2, (), limits=(LIMIT,), cached_parts=(CACHED_PART,)
+)
 SNAPSHOT = StoreSnapshot((SnapshotEntry("servers/a", b"{}", POSITION),), 0.1)
 SETTINGS = b"""
 node = "front-1"
