--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -23,6 +23,7 @@
   limits @13 :List(LimitStatement);
   evacuations @14 :List(ZoneEvacuation);
   coldServers @15 :List(ColdServer);
+  cachedParts @16 :List(CachedPart);
 }
 
 struct ZoneEvacuation {
@@ -36,6 +37,13 @@
   ageMs @6 :UInt32;
 }
 
+struct CachedPart {
+  server @0 :UInt64;
+  part @1 :UInt32;
+  tokens @2 :UInt16;
+  ageMs @3 :UInt16;
+}
+
 struct ServerLeaving {
   server @0 :UInt64;
   startedAtMs @1 :UInt64;
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -12,6 +12,11 @@
 import capnp
 
 from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.cached_part_messages import (
+    CachedPartReport,
+    decode_cached_part,
+    encode_cached_part,
+)
 from bilberryspring.connection.cold_messages import (
     ColdReport,
     decode_cold_report,
@@ -57,6 +62,7 @@
 # An entry of an evacuation is about as long as this many entries of loads.
 LOADS_PER_EVACUATION = 2
 MAX_COLD_SERVERS = 8
+MAX_CACHED_PARTS = 16
 MAX_CRASHES_PER_SUSPECT = 8
 MAX_SNAPSHOT_BYTES = 8_000_000
 # Entries are similar to each other, so that the lowest compression level already
@@ -159,6 +165,7 @@
     :param limits: statements of servers on the rate of requests that they take.
     :param evacuations: availability zones that the operator evacuated, or took back.
     :param cold_servers: observations of servers that are cold, or lately were.
+    :param cached_parts: parts of prompts that engines hold.
     """
 
     sender: InstanceId
@@ -177,6 +184,7 @@
     limits: tuple[LimitReport, ...] = ()
     evacuations: tuple[EvacuationReport, ...] = ()
     cold_servers: tuple[ColdReport, ...] = ()
+    cached_parts: tuple[CachedPartReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,6 +231,9 @@
     load_count -= LOADS_PER_EVACUATION * len(evacuations)
     # Two cold servers take the space of five loads.
     load_count -= math.ceil(2.5 * len(cold_servers))
+    # An entry of a part is about as long as one of a load.
+    cached_parts = report.cached_parts[:MAX_CACHED_PARTS]
+    load_count -= len(cached_parts)
     message = _schema.RouterReport.new_message(
         sender=report.sender,
         startedAtMs=report.started_at_ms,
@@ -266,6 +277,7 @@
         ],
         limits=[encode_limit_report(limit) for limit in limits],
         evacuations=[encode_evacuation_report(each) for each in evacuations],
+        cachedParts=[encode_cached_part(each) for each in cached_parts],
     )
     if cold_servers:
         # A list without entries would still take some bytes of each report.
@@ -371,6 +383,9 @@
             cold_servers=tuple(
                 decode_cold_report(each) for each in message.coldServers
             ),
+            cached_parts=tuple(
+                decode_cached_part(each) for each in message.cachedParts
+            ),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
@@ -386,6 +401,7 @@
         ("limits", len(message.limits), MAX_LIMITS),
         ("evacuations", len(message.evacuations), MAX_EVACUATIONS),
         ("cold servers", len(message.coldServers), MAX_COLD_SERVERS),
+        ("cached parts", len(message.cachedParts), MAX_CACHED_PARTS),
     ]
     if len(message.suspects) <= MAX_SUSPECTS:
         lengths += [
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -16,6 +16,7 @@
 from bilberryspring.connection.limit_messages import CREDIT_PREFIX
 from bilberryspring.connection.load_messages import NameHash, hash_name
 from bilberryspring.connection.router_reports import (
+    MAX_CACHED_PARTS,
     MAX_COLD_SERVERS,
     MAX_EVACUATIONS,
     MAX_LEAVINGS,
@@ -69,6 +70,8 @@
 # Routers that watch the server list in the store; the others get it from them.
 WATCHER_COUNT = 2
 MAX_LOGGED_CHARACTERS = 80
+# Entries on parts of prompts that a report has place for besides many loads.
+MIN_CACHED_PARTS = 4
 
 
 @dataclass(slots=True)
@@ -283,6 +286,7 @@
         self._servers.limits.merge(report.limits, report.sender)
         self._servers.evacuations.merge(report.evacuations, report.sender)
         self._servers.cold.merge(report.cold_servers, report.sender)
+        self._servers.cached_parts.merge(report.cached_parts)
 
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
@@ -350,6 +354,9 @@
         limits = self._servers.limits.list_reports(MAX_LIMITS)
         evacuations = self._servers.evacuations.list_reports(MAX_EVACUATIONS)
         cold_servers = self._servers.cold.list_reports(MAX_COLD_SERVERS)
+        cached_parts = self._servers.cached_parts.list_reports(
+            min(max(MAX_LOADS - len(loads), MIN_CACHED_PARTS), MAX_CACHED_PARTS)
+        )
         self._sequence += 1
         data = encode_report(
             RouterReport(
@@ -369,11 +376,13 @@
                 limits,
                 evacuations,
                 cold_servers,
+                cached_parts,
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
         fanout = min(_choose_fanout(size_bytes), len(targets))
-        if suspects or leavings or limits or evacuations or cold_servers:
+        has_news = evacuations or cold_servers or cached_parts
+        if suspects or leavings or limits or has_news:
             affordable = max(int(self._budget_bytes // size_bytes), 0)
             fanout = min(fanout, affordable if is_news else max(affordable, 1))
         if not is_news:
@@ -383,6 +392,7 @@
             self._servers.limits.mark_reported(limits)
             self._servers.evacuations.mark_reported(evacuations)
             self._servers.cold.mark_reported(cold_servers)
+            self._servers.cached_parts.mark_reported(cached_parts)
         for ip in random.sample(targets, fanout):
             self._transport.sendto(data, (ip, self._port))
 
--- a/bilberryspring/request/placement_decision.py
+++ b/bilberryspring/request/placement_decision.py
@@ -28,7 +28,11 @@
 )
 from bilberryspring.policy.server_eligibility import Exclusion
 from bilberryspring.process.credit_exchange import CreditExchange, CreditState
-from bilberryspring.process.server_table import ServerRecord, ServerTable
+from bilberryspring.process.server_table import (
+    NO_HOLDERS,
+    ServerRecord,
+    ServerTable,
+)
 from bilberryspring.request.cost_estimates import CostEstimates, make_cost_estimates
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.request.recent_usage import RecentUsage, make_recent_usage
@@ -275,6 +279,11 @@
         is_plain = pool.engine is None
         cost = None if is_plain else self._predict_cost(request, pool)
         others = list_allowed(decision.ready, request)
+        holders = NO_HOLDERS
+        if cost is not None and pool.engine.can_fetch:
+            # Holders may be in regions where the request may not run.
+            if not request.is_bound_to_regions:
+                holders = self._servers.find_part_holders(request.prompt, now_s)
         reservations = {}
         for record in records:
             server = record.server
@@ -293,6 +302,7 @@
                     others,
                     now_s,
                     *cost,
+                    holders,
                 )
             if not self._has_capacity(record, reservation, request, pool, is_heavy):
                 decision.exclusions[server_id] = Exclusion.NO_ROOM
