--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -253,8 +253,10 @@
             for leaving in leavings
         ],
         limits=[encode_limit_report(limit) for limit in limits],
-        evacuations=[encode_evacuation_report(each) for each in evacuations],
     )
+    if evacuations:
+        # An empty list would take bytes in every report.
+        message.evacuations = [encode_evacuation_report(each) for each in evacuations]
     return message.to_bytes_packed()
 
 
