--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -276,12 +276,14 @@
             for leaving in leavings
         ],
         limits=[encode_limit_report(limit) for limit in limits],
-        evacuations=[encode_evacuation_report(each) for each in evacuations],
-        cachedParts=[encode_cached_part(each) for each in cached_parts],
     )
+    # A list without entries would still take some bytes of each report.
+    if evacuations:
+        message.evacuations = [encode_evacuation_report(each) for each in evacuations]
     if cold_servers:
-        # A list without entries would still take some bytes of each report.
         message.coldServers = [encode_cold_report(each) for each in cold_servers]
+    if cached_parts:
+        message.cachedParts = [encode_cached_part(each) for each in cached_parts]
     return message.to_bytes_packed()
 
 
