--- a/bilberryspring/process/tests/test_keeper_votes.py
+++ b/bilberryspring/process/tests/test_keeper_votes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bilberryspring.capability.routing import PoolLimits
+from bilberryspring.policy.tests.fleet_replay import seeded
 from bilberryspring.process import keeper_votes
 from bilberryspring.process.credit_exchange import START_DELAY_S
 from bilberryspring.process.keeper_votes import make_keeper_votes
@@ -123,7 +124,8 @@
     assert voter.vote_for(KEY, "b") and not voter.vote_for(KEY, "a")
 
 
-def test_credit_goes_on_when_the_keeper_comes_back():
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5])
+def test_credit_goes_on_when_the_keeper_comes_back(seed):
     async def check():
         fleet, loop = SplitFleet(9), asyncio.get_running_loop()
         await asyncio.sleep(START_DELAY_S)
@@ -145,6 +147,8 @@
             for earlier, later in zip(sent_s, sent_s[1:], strict=False)
             if later > back_s - START_DELAY_S
         ]
-        assert max(gaps_s) <= 0.6
+        # The returned keeper doesn't wait for the others' votes to end.
+        assert max(gaps_s) < keeper_votes.VOTE_BINDS_S
 
-    run(check)
+    with seeded(seed):
+        run(check)
