Keep requests that must run once off connections that were idle for long

Cause: with keep-alive times as announced, orders were sent on connections up to 9 s old. A server that had gone dark took them, and they could not be sent again.

--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -43,9 +43,9 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 # Longest use of a timeout that a server announces.
 MAX_ANNOUNCED_IDLE_S = 30.0
-# A server that announces no timeout may close an idle connection without this router
-# noticing. A request that must not run twice reuses a connection of such a server only
-# if it was used within this time.
+# A server may be gone without this router noticing. A request that must not run twice
+# reuses a connection only if it was used within this time: sent to a server that is
+# gone, it can't be sent again, while a connection that can't be opened costs nothing.
 MAX_IDLE_BEFORE_ONCE_S = 1.0
 # A crashed server refuses a connection at once; a machine without power never responds.
 PROBE_TIMEOUT_S = 0.15
@@ -371,6 +371,9 @@
             connection = idle.pop()
             if _is_usable(connection, now_s, request.route.is_repeatable):
                 return connection
+            if _is_usable(connection, now_s):
+                idle.append(connection)
+                return None
             connection.close()
         return None
 
@@ -378,14 +381,23 @@
 def _is_usable(
     connection: BackendConnection, now_s: float, is_repeatable: bool = True
 ) -> bool:
-    """Return whether a request may be sent on an idle connection."""
+    """Return whether a request may be sent on an idle connection.
+
+    :param connection: the connection.
+    :param now_s: monotonic time.
+    :param is_repeatable: whether the request may run twice.
+    """
     if not connection.is_reusable:
         return False
     idle_s = now_s - connection.idle_since_s
     if connection.keep_alive_timeout_s is not None:
         announced_s = connection.keep_alive_timeout_s - KEEP_ALIVE_MARGIN_S
-        return idle_s <= min(announced_s, MAX_ANNOUNCED_IDLE_S)
-    return idle_s <= (MAX_IDLE_S if is_repeatable else MAX_IDLE_BEFORE_ONCE_S)
+        max_idle_s = min(announced_s, MAX_ANNOUNCED_IDLE_S)
+    else:
+        max_idle_s = MAX_IDLE_S
+    if not is_repeatable:
+        max_idle_s = min(max_idle_s, MAX_IDLE_BEFORE_ONCE_S)
+    return idle_s <= max_idle_s
 
 
 def _encode_request(
