Let a late report begin no watch of the evacuations

Cause: routers that rely on others began a watch of ten seconds whenever the list of servers was 1.35 s old for a moment.

Change: they begin one once the others' word on the store is 2 s old.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -90,6 +90,9 @@
 # watcher. On a slower link, a snapshot of a hundred kilobytes would delay responses to
 # callers.
 MIN_FAST_LINK_MBPS = 50.0
+# A router that hears nothing of the store from others for this long watches the
+# evacuations itself. Such a watch is long, so a late report must not begin one.
+MAX_EVACUATION_NEWS_AGE_S = 2.0
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
@@ -201,8 +204,9 @@
         self._configuration_watcher.is_store_watcher = self._peers.is_watcher
         self._evacuation_watcher.is_store_watcher = self._peers.is_watcher
         # The routers that watch the servers watch the evacuations too.
-        self._evacuation_watcher.may_skip_watching = (
-            self._server_watcher.may_skip_watching
+        self._evacuation_watcher.may_skip_watching = lambda: (
+            not self._peers.is_watcher()
+            and 0 <= self._server_watcher.age_s < MAX_EVACUATION_NEWS_AGE_S
         )
         self._peers.on_credit_message = self._credits.receive
         self._peers.add_addresses(list(settings.seed_ips))
