Say by what the corrections of costs are kept

Cause: two comments and a docstring named servers, by which no correction is kept; a reader would look for one in vain.

No code changed.

--- a/bilberryspring/policy/request_cost.py
+++ b/bilberryspring/policy/request_cost.py
@@ -32,7 +32,7 @@
 MAX_LOG_ERROR = 0.5
 # Bounds of a coefficient as multiples of its initial guess.
 MAX_COEFFICIENT_FACTOR = 20.0
-# Bound of a correction by route, workspace or server: callers' hints are wrong by a
+# Bound of a correction of one kind of requests: callers' hints are wrong by a
 # hundred at times.
 MAX_LOG_CORRECTION = math.log(100.0)
 # A correction without further observations is forgotten by half in this time.
--- a/bilberryspring/request/cost_estimates.py
+++ b/bilberryspring/request/cost_estimates.py
@@ -22,7 +22,7 @@
 
 __all__ = ["CostEstimates", "Quantity", "make_cost_estimates"]
 
-# Routes, workspaces and servers whose corrections are kept, the latest ones.
+# Corrections that are kept, the latest ones.
 MAX_CORRECTIONS = 4_096
 # Routes whose errors are kept, and errors of each.
 MAX_ERROR_KINDS = 256
@@ -41,7 +41,7 @@
 
 
 class CostEstimates:
-    """Coefficients of each pool, and corrections by route, workspace and server.
+    """Coefficients of each pool, and corrections by route and by workspace.
 
     :param clock: monotonic clock, in seconds.
     """
