Case 9: a router keeps to the store's old address after SIGHUP (CONFIG)

Promise: a confirmed version is in force at each machine in touch within configApplyMs, and SIGHUP tells that the settings file has changed. Disruption: the settings name the store at a new address (hup). Seen: the dropped key runs and the added route is 404, 13 s after the old address is gone, while the router says that it is ready.

--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -90,15 +90,28 @@
         self._leases = {}
         self._next_lease = 1
         self._server = None
+        self._writers = set()
 
     async def start(self):
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, self.ip, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def close(self):
-        """Stop listening."""
-        self._server.close()
+    async def open_second_address(self):
+        """Listen on another free port too, which is the store's address from now on.
+
+        :returns: function that closes the first address and its connections.
+        """
+        former, writers = self._server, self._writers
+        self._writers = set()
+        await self.start()
+
+        def close_former():
+            former.close()
+            for writer in list(writers):
+                writer.transport.abort()
+
+        return close_former
 
     @property
     def address(self):
@@ -132,6 +145,8 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
+        writers = self._writers
+        writers.add(writer)
         # A task that ends as cancelled makes the library print a traceback.
         ends = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*ends):
@@ -146,6 +161,7 @@
                     + data
                 )
                 await writer.drain()
+        writers.discard(writer)
         writer.close()
 
     async def _answer(self, method, target, body):
