--- a/review/standins_2/harness.py
+++ b/review/standins_2/harness.py
@@ -283,6 +283,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def refuse(self, writer, headers):
+        """Answer that the request is for another replica."""
+        write_response(writer, 421, headers, {"Not-Executed": "1"})
+
     def count_connections(self):
         """Return the number of open connections."""
         return len(self._writers)
@@ -308,7 +312,7 @@
             while True:
                 line, headers, body = await read_message(reader)
                 if headers.get("expect-replica", self.name) != self.name:
-                    write_response(writer, 421, headers, {"Not-Executed": "1"})
+                    self.refuse(writer, headers)
                     continue
                 path = line.split(" ")[1]
                 attempt = headers.get("attempt-id", "")
