Accept no key once a version has an empty list of workspaces

Cause: decode_routing_table took any empty value of `tenants` for a missing one and set `keys` to None, which means that callers need no key. decode_request and the relay did what the table says; the router's table was the wrong one. `configuration_adopted` did not tell the two apart, so it now has the fields `requires_keys` and `keys`.

Change: only a document without `tenants` needs no keys. A list, also an empty one, states all keys; any other value refuses the document, and the version before it stays in force.

--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -67,7 +67,6 @@
     try:
         document = parse_json(value)
         limits = document.get("limits", {})
-        tenants = document.get("tenants")
         return make_routing_table(
             version=_read_integer(document, "version"),
             position=position,
@@ -77,7 +76,7 @@
             pools=[
                 _decode_pool(service) for service in _require_list(document, "services")
             ],
-            keys=_decode_workspace_keys(document) if tenants else None,
+            keys=_decode_workspace_keys(document),
             limits=CallerLimits(
                 max_header_bytes=_read_integer(limits, "maxHeaderBytes", 16_384),
                 max_body_bytes=_read_integer(limits, "maxBodyBytes", 4_194_304),
@@ -178,7 +177,13 @@
     return cold_start_s, cold_per_s, "; ".join(problems)
 
 
-def _decode_workspace_keys(document: Mapping) -> dict[str, WorkspaceKey]:
+def _decode_workspace_keys(document: Mapping) -> dict[str, WorkspaceKey] | None:
+    """Return the workspaces by key, ``None`` if the document does not state any.
+
+    An empty list states that no key is valid, not that callers need none.
+    """
+    if "tenants" not in document:
+        return None
     keys = {}
     for tenant in _require_list(document, "tenants"):
         rank = None if tenant.get("priority") is None else _read_rank(tenant)
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -432,6 +432,8 @@
             revision=table.position.revision,
             epoch=table.position.epoch,
             routes=sum(len(host_routes) for host_routes in table.routes.values()),
+            requires_keys=table.keys is not None,
+            keys=len(table.keys or ()),
         )
         self._dispatcher.dispatch_all_waiting()
 
--- a/bilberryspring/platform/tests/test_document_decoders.py
+++ b/bilberryspring/platform/tests/test_document_decoders.py
@@ -50,6 +50,21 @@
     assert (table.version, table.position.revision) == (3, 9)
 
 
+@pytest.mark.parametrize("tenants", [None, {}, "", 0, False])
+def test_tenants_that_are_no_list_are_refused_by_name(tenants):
+    document = json.dumps({**CONFIGURATION, "tenants": tenants}).encode()
+    failure = decode_routing_table(document, StorePosition(StoreEpoch(1), 1))
+    assert isinstance(failure, Failure) and "tenants" in failure.reason
+
+
+def test_only_a_document_without_tenants_needs_no_keys():
+    position = StorePosition(StoreEpoch(1), 1)
+    document = {**CONFIGURATION, "tenants": []}
+    assert decode_routing_table(json.dumps(document).encode(), position).keys == {}
+    del document["tenants"]
+    assert decode_routing_table(json.dumps(document).encode(), position).keys is None
+
+
 def decode_with_regions(of_route, of_tenant):
     route = {**CONFIGURATION["routes"][0], "allowedRegions": of_route}
     tenant = {**CONFIGURATION["tenants"][0], "allowedRegions": of_tenant}
--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -231,6 +231,25 @@
         assert (await send_request(session, router, "/orders/x", key="k9"))[0] == 200
 
 
+# Guards against an empty list of workspaces being read as a missing one, which let
+# requests with any key, and with none, run.
+async def test_no_key_is_accepted_once_the_last_workspace_is_removed(deployment):
+    router = await deployment.add_router()
+    await router.wait_ready()
+    async with aiohttp.ClientSession() as session:
+        assert (await send_request(session, router, "/orders/x"))[0] == 200
+        await deployment.store.put(
+            "op/config", {**CONFIGURATION, "version": 4, "tenants": []}
+        )
+        await asyncio.sleep(1.0)
+        for key in ("k1", "unknown", None):
+            for path in ("/orders/x", "/drafts/x"):
+                status, _, _ = await send_request(session, router, path, key=key)
+                assert (key, path, status) == (key, path, 401)
+        assert (await send_request(session, router, "/open/x", key=None))[0] == 200
+    assert len(deployment.server.executed) == 2
+
+
 async def test_server_at_a_reused_address_does_not_run_requests_for_another(deployment):
     router = await deployment.add_router()
     await router.wait_ready()
