Refuse configurations with empty or odd fields instead of reading them as missing

What callers would have seen: `split: []` beside a service sends all requests to that service; `allowedRegions: []` allows all regions; `apiKeys: [""]` lets requests without a key run; `prefix: ""` matches every path; `engine: {}` removes an engine's limits; `timeoutMs: 0`, `maxConns: 0` and null limits fall back to larger defaults.

Change: only an absent field has a default. Null is refused, as are empty names and keys, a prefix without its slashes, an empty split, engine or limits, and zero where it was read as missing. An empty list of regions allows none. The reason names the path of the field. Weights that are all zero send a request nowhere (503, not run); one service got all of them before, and two made the choice raise. The process test of that failed before with 200 and 500.

Tests: the case in which an empty list of regions allowed all of them asserted the fault; it now asserts that none is allowed.

--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -1,7 +1,7 @@
 """Decoders of the operator's configuration and of backend server entries."""
 
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 
 from bilberryspring.capability.routing import (
     BackendServer,
@@ -36,13 +36,17 @@
 
 __all__ = ["decode_routing_table", "decode_server"]
 
+T = TypeVar("T")
+
 _EXECUTION_RULES = {
     "safe": ExecutionRule.REPEATABLE,
     "unsafe": ExecutionRule.ONCE,
     "streaming": ExecutionRule.STREAM,
 }
 _READINESS_BY_STATE = {"ready": True, "draining": False}
+_LIMIT_FIELDS = {"maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"}
 DEFAULT_ROUTE_TIMEOUT_MS = 30_000.0
+DEFAULT_MAX_CONNECTIONS = 100
 LEAST_URGENT_RANK = 9
 MAX_SERVER_ENTRY_BYTES = 64 * 1024
 MAX_SLOTS = 2**31 - 1
@@ -65,45 +69,39 @@
     :returns: the routing table, or a failure if any part of the document is malformed.
     """
     try:
-        document = parse_json(value)
-        limits = document.get("limits", {})
+        document = _require_object(parse_json(value), "configuration")
         return make_routing_table(
             version=_read_integer(document, "version"),
             position=position,
-            routes=[
-                _decode_route(route) for route in _require_list(document, "routes")
-            ],
-            pools=[
-                _decode_pool(service) for service in _require_list(document, "services")
-            ],
+            routes=_decode_each(document, "routes", _decode_route),
+            pools=_decode_each(document, "services", _decode_pool),
             keys=_decode_workspace_keys(document),
-            limits=CallerLimits(
-                max_header_bytes=_read_integer(limits, "maxHeaderBytes", 16_384),
-                max_body_bytes=_read_integer(limits, "maxBodyBytes", 4_194_304),
-                header_timeout_s=_read_number(limits, "headerTimeoutMs", 10_000) / 1000,
-                idle_timeout_s=_read_number(limits, "idleTimeoutMs", 60_000) / 1000,
-            ),
+            limits=_decode_object(document, "limits", _decode_limits) or CallerLimits(),
         )
     except MALFORMED_ERRORS as error:
         reason = f"malformed configuration: {describe_error(error)}"
         return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
 
 
+def _decode_limits(limits: Mapping) -> CallerLimits:
+    if not _LIMIT_FIELDS & limits.keys():
+        raise ValueError(f"must have one of {', '.join(sorted(_LIMIT_FIELDS))}")
+    return CallerLimits(
+        max_header_bytes=_read_integer(limits, "maxHeaderBytes", 16_384),
+        max_body_bytes=_read_integer(limits, "maxBodyBytes", 4_194_304),
+        header_timeout_s=_read_number(limits, "headerTimeoutMs", 10_000) / 1000,
+        idle_timeout_s=_read_number(limits, "idleTimeoutMs", 60_000) / 1000,
+    )
+
+
 def _decode_route(route: Mapping) -> DirectRoute:
-    if route.get("split"):
-        pools = tuple(
-            (PoolName(_require_text(target, "service")), _read_number(target, "weight"))
-            for target in _require_list(route, "split")
-        )
-    else:
-        pools = ((PoolName(_require_text(route, "service")), 1.0),)
-    timeout_ms = _read_number(route, "timeoutMs", 0) or DEFAULT_ROUTE_TIMEOUT_MS
+    timeout_ms = _read_positive(route, "timeoutMs", DEFAULT_ROUTE_TIMEOUT_MS)
     return DirectRoute(
-        name=RouteName(_require_string(route, "name")),
-        host=_require_string(route, "host"),
-        path_prefix=_require_string(route, "prefix"),
-        rule=_EXECUTION_RULES[route["kind"]],
-        pools=pools,
+        name=RouteName(_require_text(route, "name")),
+        host=_require_text(route, "host"),
+        path_prefix=_read_prefix(route),
+        rule=_require_choice(route, "kind", _EXECUTION_RULES),
+        pools=_read_pools(route),
         max_servers=max(1, _read_integer(route, "attempts", 1, -MAX_INTEGER)),
         timeout_s=timeout_ms / 1000,
         target_s=(_read_number(route, "goalMs", 0) or timeout_ms) / 1000,
@@ -115,16 +113,47 @@
     )
 
 
+def _read_prefix(route: Mapping) -> str:
+    prefix = _require_text(route, "prefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise ValueError("prefix must begin and end with a slash")
+    return prefix
+
+
+def _read_pools(route: Mapping) -> tuple[tuple[PoolName, float], ...]:
+    """Return the pools of a route with their weights.
+
+    A split states where requests may go, so an odd one does not give way to the
+    route's only service.
+    """
+    if "split" not in route:
+        return ((PoolName(_require_text(route, "service")), 1.0),)
+    pools = _decode_each(
+        route,
+        "split",
+        lambda target: (
+            PoolName(_require_text(target, "service")),
+            _read_number(target, "weight"),
+        ),
+    )
+    if not pools:
+        raise ValueError("split must be a list that is not empty")
+    return tuple(pools)
+
+
 def _read_regions(document: Mapping) -> frozenset[Region] | None:
-    """Return the regions that a document allows, ``None`` if it names none."""
-    names = document.get("allowedRegions")
-    if names is None:
+    """Return the regions that a document allows, ``None`` if it does not state any.
+
+    An empty list states that no region is allowed.
+    """
+    if "allowedRegions" not in document:
         return None
+    names = document["allowedRegions"]
     if not isinstance(names, list) or not all(
         isinstance(name, str) and name for name in names
     ):
-        raise ValueError("allowedRegions is not a list of names")
-    return frozenset(Region(name) for name in names) or None
+        raise ValueError("allowedRegions must be a list of names")
+    return frozenset(Region(name) for name in names)
 
 
 def _read_rank(document: Mapping) -> int:
@@ -133,31 +162,29 @@
 
 
 def _decode_pool(service: Mapping) -> PoolLimits:
-    engine = service.get("engine")
     cold_start_s, cold_per_s, cold_problem = _read_cold_figures(service)
     return PoolLimits(
-        name=PoolName(_require_string(service, "name")),
-        max_connections=_read_integer(service, "maxConns", 0) or 100,
-        engine=None
-        if not engine
-        else EngineLimits(
-            slots=_read_integer(engine, "slots"),
-            cache_tokens=_read_integer(engine, "kvTokens"),
-            # Number of tokens in one event of a stream.
-            chunk_tokens=max(1, _read_integer(engine, "stride", 1, -MAX_INTEGER)),
-            can_fetch=_read_flag(engine, "moves"),
-        ),
+        name=PoolName(_require_text(service, "name")),
+        max_connections=_read_integer(service, "maxConns", DEFAULT_MAX_CONNECTIONS, 1),
+        engine=_decode_object(service, "engine", _decode_engine),
         cold_start_s=cold_start_s,
         cold_per_s=cold_per_s,
         cold_problem=cold_problem,
     )
 
 
-def _read_cold_figures(service: Mapping) -> tuple[float, float, str]:
-    """Return the cold time and rate of a service, and what is odd about them.
+def _decode_engine(engine: Mapping) -> EngineLimits:
+    return EngineLimits(
+        slots=_read_integer(engine, "slots", lowest=1),
+        cache_tokens=_read_integer(engine, "kvTokens", lowest=1),
+        # Number of tokens in one event of a stream.
+        chunk_tokens=max(1, _read_integer(engine, "stride", 1, -MAX_INTEGER)),
+        can_fetch=_read_flag(engine, "moves"),
+    )
 
-    Odd figures don't refuse the document: the rest of it is sound.
-    """
+
+def _read_cold_figures(service: Mapping) -> tuple[float, float, str]:
+    """Return the cold time and rate of a service, and what is odd about them."""
     figures, problems = {}, []
     for name, highest in (
         ("coldStartS", MAX_COLD_START_S),
@@ -184,16 +211,24 @@
     """
     if "tenants" not in document:
         return None
-    keys = {}
-    for tenant in _require_list(document, "tenants"):
-        rank = None if tenant.get("priority") is None else _read_rank(tenant)
-        workspace = WorkspaceName(_require_string(tenant, "name"))
-        regions = _read_regions(tenant)
-        for key in _require_list(tenant, "apiKeys") if "apiKeys" in tenant else ():
-            if not isinstance(key, str):
-                raise ValueError("a key is not a string")
-            keys[key] = WorkspaceKey(workspace, rank, regions)
-    return keys
+    return {
+        key: workspace_key
+        for workspace_keys in _decode_each(document, "tenants", _decode_tenant)
+        for key, workspace_key in workspace_keys.items()
+    }
+
+
+def _decode_tenant(tenant: Mapping) -> dict[str, WorkspaceKey]:
+    workspace_key = WorkspaceKey(
+        WorkspaceName(_require_text(tenant, "name")),
+        _read_rank(tenant) if "priority" in tenant else None,
+        _read_regions(tenant),
+    )
+    keys = _require_list(tenant, "apiKeys") if "apiKeys" in tenant else []
+    # A request without a key would present an empty one.
+    if not all(isinstance(key, str) and key for key in keys):
+        raise ValueError("apiKeys must hold strings that are not empty")
+    return dict.fromkeys(keys, workspace_key)
 
 
 def decode_server(server_id: str, value: bytes) -> BackendServer | Failure:
@@ -248,20 +283,58 @@
         return UNREADABLE_COLD_S
 
 
-def _require_string(document: Mapping, name: str) -> str:
-    value = document[name]
-    if not isinstance(value, str):
-        raise ValueError(f"{name} must be a string")
+def _require_object(value: Any, name: str) -> Mapping:
+    if not isinstance(value, dict):
+        raise ValueError(f"{name} must be an object")
     return value
 
 
+def _decode_object(
+    document: Mapping, name: str, decode: Callable[[Mapping], T]
+) -> T | None:
+    """Decode an object, ``None`` if the document has no such field.
+
+    :raises ValueError: if it is malformed; the message has its name.
+    """
+    if name not in document:
+        return None
+    try:
+        return decode(_require_object(document[name], name))
+    except MALFORMED_ERRORS as error:
+        raise ValueError(f"{name}: {describe_error(error)}") from error
+
+
+def _decode_each(
+    document: Mapping, name: str, decode: Callable[[Mapping], T]
+) -> list[T]:
+    """Decode the objects of a list.
+
+    :raises ValueError: if one of them is malformed; the message has its position.
+    """
+    decoded = []
+    for position, item in enumerate(_require_list(document, name)):
+        path = f"{name}[{position}]"
+        try:
+            decoded.append(decode(_require_object(item, path)))
+        except MALFORMED_ERRORS as error:
+            raise ValueError(f"{path}: {describe_error(error)}") from error
+    return decoded
+
+
 def _require_text(document: Mapping, name: str) -> str:
-    value = _require_string(document, name)
-    if not value:
+    value = document[name]
+    if not isinstance(value, str) or not value:
         raise ValueError(f"{name} must be a string that is not empty")
     return value
 
 
+def _require_choice(document: Mapping, name: str, choices: Mapping[str, T]) -> T:
+    value = _require_text(document, name)
+    if value not in choices:
+        raise ValueError(f"{name} must be one of {', '.join(choices)}")
+    return choices[value]
+
+
 def _require_list(document: Mapping, name: str) -> list[Any]:
     value = document[name]
     if not isinstance(value, list):
@@ -272,11 +345,21 @@
 def _read_number(document: Mapping, name: str, default: float | None = None) -> float:
     """Return a number that is not negative.
 
-    :param default: number that a missing field or null stands for; ``None`` if the
-        field is required.
+    Null is no number, also in an optional field.
+
+    :param default: number that a missing field stands for; ``None`` if the field is
+        required.
     """
-    value = document.get(name)
-    return require_finite(default if value is None else value, name, lowest=0)
+    value = document[name] if default is None else document.get(name, default)
+    return require_finite(value, name, lowest=0)
+
+
+def _read_positive(document: Mapping, name: str, default: float) -> float:
+    """Return a number above zero; see :func:`_read_number`."""
+    value = _read_number(document, name, default)
+    if not value:
+        raise ValueError(f"{name} must be above zero")
+    return value
 
 
 def _read_integer(
@@ -286,17 +369,14 @@
 
     Some encoders write integers as numbers with a fraction of zero.
     """
-    value = document.get(name)
-    value = default if value is None else value
+    value = document[name] if default is None else document.get(name, default)
     if isinstance(value, float) and value.is_integer():
         value = int(value)
     return require_int(value, name, lowest, MAX_INTEGER)
 
 
 def _read_flag(document: Mapping, name: str) -> bool:
-    value = document.get(name)
-    if value is None:
-        return False
+    value = document.get(name, False)
     if not isinstance(value, bool):
         raise ValueError(f"{name} must be true or false")
     return value
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -504,7 +504,8 @@
             await make_http_caller_response(connection, "").refuse(incoming)
             return
         response = make_http_caller_response(connection, incoming.request_id)
-        pool = table.pools.get(_choose_pool(incoming.route.pools))
+        pool_name = _choose_pool(incoming.route.pools)
+        pool = None if pool_name is None else table.pools.get(pool_name)
         if pool is None:
             await response.refuse(make_failure(ErrorKind.NO_INSTANCE))
             return
@@ -594,11 +595,10 @@
         self._store.close()
 
 
-def _choose_pool(pools: tuple[tuple[PoolName, float], ...]) -> PoolName:
-    if len(pools) == 1:
-        return pools[0][0]
-    names = [name for name, _ in pools]
-    return random.choices(names, [weight for _, weight in pools])[0]
+def _choose_pool(pools: tuple[tuple[PoolName, float], ...]) -> PoolName | None:
+    """Return a pool drawn by weight, ``None`` if none has a weight above zero."""
+    names, weights = zip(*pools, strict=True)
+    return random.choices(names, weights)[0] if any(weights) else None
 
 
 def make_front_router(settings: MachineSettings) -> FrontRouter:
--- a/bilberryspring/platform/tests/test_document_decoders.py
+++ b/bilberryspring/platform/tests/test_document_decoders.py
@@ -65,9 +65,13 @@
     assert decode_routing_table(json.dumps(document).encode(), position).keys is None
 
 
-def decode_with_regions(of_route, of_tenant):
-    route = {**CONFIGURATION["routes"][0], "allowedRegions": of_route}
-    tenant = {**CONFIGURATION["tenants"][0], "allowedRegions": of_tenant}
+def decode_with_regions(**fields):
+    """Decode a configuration in which a route or a workspace states its regions."""
+    route, tenant = CONFIGURATION["routes"][0], CONFIGURATION["tenants"][0]
+    if "of_route" in fields:
+        route = {**route, "allowedRegions": fields["of_route"]}
+    if "of_tenant" in fields:
+        tenant = {**tenant, "allowedRegions": fields["of_tenant"]}
     document = {**CONFIGURATION, "routes": [route], "tenants": [tenant]}
     return decode_routing_table(
         json.dumps(document).encode(), StorePosition(StoreEpoch(1), 9)
@@ -75,19 +79,30 @@
 
 
 def test_allowed_regions_of_routes_and_workspaces_are_decoded():
-    table = decode_with_regions(["north", "south"], ["south"])
+    table = decode_with_regions(of_route=["north", "south"], of_tenant=["south"])
     route = find_route(table, "a.example", "/orders/x")
     assert route.allowed_regions == {"north", "south"}
     assert table.keys["k1"].allowed_regions == {"south"}
-    table = decode_with_regions([], None)
+    table = decode_with_regions()
     assert find_route(table, "a.example", "/orders/x").allowed_regions is None
     assert table.keys["k1"].allowed_regions is None
 
 
-@pytest.mark.parametrize("names", ["north", [""], [7], {"north": 1}, True, [None]])
+# Guards against an empty list of regions being read as a missing one, which allowed
+# all of them.
+def test_empty_list_of_regions_allows_none():
+    table = decode_with_regions(of_route=[], of_tenant=[])
+    route = find_route(table, "a.example", "/orders/x")
+    assert route.allowed_regions == table.keys["k1"].allowed_regions == frozenset()
+
+
+@pytest.mark.parametrize(
+    "names", ["north", [""], [7], {"north": 1}, True, [None], None]
+)
 def test_malformed_regions_are_a_failure(names):
-    assert isinstance(decode_with_regions(names, None), Failure)
-    assert isinstance(decode_with_regions(None, names), Failure)
+    for field in ("of_route", "of_tenant"):
+        failure = decode_with_regions(**{field: names})
+        assert isinstance(failure, Failure) and "allowedRegions" in failure.reason
 
 
 def test_engine_of_a_pool_is_decoded():
--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -250,6 +250,24 @@
     assert len(deployment.server.executed) == 2
 
 
+# Guards against a weight of zero being read as a missing one, which sent all requests
+# to a route's only service.
+@pytest.mark.parametrize("services", [["desk"], ["desk", "other"]])
+async def test_route_whose_weights_are_zero_serves_no_request(deployment, services):
+    split = [{"service": name, "weight": 0} for name in services]
+    orders, *others = CONFIGURATION["routes"]
+    routes = [{**orders, "split": split}, *others]
+    await deployment.store.put(
+        "op/config", {**CONFIGURATION, "version": 4, "routes": routes}
+    )
+    router = await deployment.add_router()
+    await router.wait_ready()
+    async with aiohttp.ClientSession() as session:
+        assert (await send_request(session, router, "/orders/x"))[0] == 503
+        assert (await send_request(session, router, "/drafts/x"))[0] == 200
+    assert len(deployment.server.executed) == 1
+
+
 async def test_server_at_a_reused_address_does_not_run_requests_for_another(deployment):
     router = await deployment.add_router()
     await router.wait_ready()
--- a/bilberryspring/process/placement_answers.py
+++ b/bilberryspring/process/placement_answers.py
@@ -6,7 +6,6 @@
 from dataclasses import asdict
 
 from bilberryspring.capability.routing import IncomingRequest, RoutingTable
-from bilberryspring.identifiers import PoolName
 from bilberryspring.process.clock import read_boot_time_s
 from bilberryspring.process.preview_requests import decode_preview_request
 from bilberryspring.process.server_table import ServerTable
@@ -54,7 +53,10 @@
     dispatcher: Dispatcher,
     servers: ServerTable,
 ) -> PlacementPreview | Failure:
-    name = _choose_largest_pool(request)
+    name, weight = max(request.route.pools, key=lambda pool: pool[1])
+    if not weight:
+        reason = f"no pool of route {request.route.name!r} has a weight above zero"
+        return make_failure(ErrorKind.NO_INSTANCE, reason)
     pool = table.pools.get(name)
     if pool is None:
         reason = f"the configuration has no pool {name!r}"
@@ -71,9 +73,5 @@
     )
 
 
-def _choose_largest_pool(request: IncomingRequest) -> PoolName:
-    return max(request.route.pools, key=lambda pool: pool[1])[0]
-
-
 def _make_problem(failure: Failure, status: int) -> tuple[int, bytes]:
     return status, json.dumps({**make_problem(failure), "status": status}).encode()
--- /dev/null
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -0,0 +1,248 @@
+"""No field allows more once its value is empty or of another type.
+
+Guards against readers of documents that take such a value for a missing one. A new
+reader is added to the registry by the decorator, with sound documents and a function
+that tells what a document allows.
+"""
+
+import copy
+import json
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+
+from bilberryspring.capability.store_position import StorePosition
+from bilberryspring.connection.http_caller import HttpRequest
+from bilberryspring.identifiers import Region, StoreEpoch
+from bilberryspring.platform.caller_requests import decode_request
+from bilberryspring.platform.document_decoders import decode_routing_table
+from bilberryspring.platform.tests.platform_standin import CONFIGURATION
+from bilberryspring.request.errors import Failure
+
+POSITION = StorePosition(StoreEpoch(1), 9)
+# Replaces a value by one that is empty or of another type.
+ODD_VALUES = (
+    None,
+    "",
+    [],
+    {},
+    0,
+    False,
+    True,
+    -1,
+    0.5,
+    "x",
+    [None],
+    [""],
+    [{}],
+    {"x": None},
+)
+
+# What a document allows, by name: the larger the number, the more.
+Allowances = Mapping[Any, float]
+Path = tuple[str | int, ...]
+
+
+@dataclass(frozen=True)
+class Reader:
+    """A reader of documents.
+
+    :ivar documents: sound documents.
+    :ivar list_allowances: returns what a document allows, or why it is refused.
+    :ivar sound_values: values of fields that state what they say, and are not odd.
+    """
+
+    documents: tuple[Any, ...]
+    list_allowances: Callable[[Any], Allowances | Failure]
+    sound_values: Mapping[str, tuple[Any, ...]]
+
+
+READERS: dict[str, Reader] = {}
+
+
+def register_reader(*documents, **sound_values):
+    def register(list_allowances):
+        name = list_allowances.__name__.removeprefix("list_allowances_of_")
+        READERS[name] = Reader(documents, list_allowances, sound_values)
+        return list_allowances
+
+    return register
+
+
+def to_json(document):
+    return json.dumps(document).encode()
+
+
+def list_paths(document: Any) -> Iterator[Path]:
+    """Return the path of each value within a document."""
+    if isinstance(document, dict | list):
+        members = (
+            document.items() if isinstance(document, dict) else enumerate(document)
+        )
+        for name, value in members:
+            yield (name,)
+            yield from ((name, *path) for path in list_paths(value))
+
+
+def get_value(document: Any, path: Path) -> Any:
+    for name in path:
+        document = document[name]
+    return document
+
+
+def replace_value(document: Any, path: Path, value: Any) -> Any:
+    document = copy.deepcopy(document)
+    get_value(document, path[:-1])[path[-1]] = copy.deepcopy(value)
+    return document
+
+
+def find_field(path: Path) -> str:
+    return next(name for name in reversed(path) if isinstance(name, str))
+
+
+def is_odd(value: Any, odd: Any, sound_values: tuple[Any, ...]) -> bool:
+    """Return whether a value can't stand where another one does."""
+    for sound in (value, *sound_values):
+        # False equals zero and True equals one.
+        if type(odd) is type(sound) and odd == sound:
+            return False
+    is_same_type = type(odd) is type(value)
+    # Another text, number or flag is another statement; a list may hold anything.
+    return not (is_same_type and isinstance(value, str | bool) and odd != "")
+
+
+def list_odd_documents(reader: Reader) -> Iterator[tuple[Any, Path, Any, Any]]:
+    for document in reader.documents:
+        for path in list_paths(document):
+            sound_values = reader.sound_values.get(find_field(path), ())
+            if isinstance(path[-1], int):
+                sound_values = ()
+            for odd in ODD_VALUES:
+                value = get_value(document, path)
+                if is_odd(value, odd, sound_values):
+                    yield document, path, odd, replace_value(document, path, odd)
+
+
+def make_configuration():
+    """Return a configuration that uses every field which a router reads."""
+    document = copy.deepcopy(CONFIGURATION)
+    orders, drafts, open_route = document["routes"]
+    orders["public"] = False
+    orders["allowedRegions"] = ["north"]
+    drafts["split"] = [
+        {"service": "desk", "weight": 1},
+        {"service": "engines", "weight": 2},
+    ]
+    # A split takes precedence over a service.
+    drafts["service"] = "other"
+    open_route["timeoutMs"] = 2000
+    engine = {"slots": 8, "kvTokens": 9000, "stride": 9, "moves": False}
+    document["services"] += [
+        {"name": "engines", "maxConns": 10, "engine": engine},
+        {"name": "other", "maxConns": 10},
+    ]
+    document["tenants"].append(
+        {"name": "south", "apiKeys": ["k3"], "allowedRegions": ["north", "south"]}
+    )
+    return document
+
+
+@register_reader(
+    make_configuration(),
+    {**make_configuration(), "tenants": []},
+    version=(0,),
+    routes=([],),
+    services=([],),
+    tenants=([],),
+    apiKeys=([],),
+    allowedRegions=([],),
+    priority=(0, -1),
+    attempts=(0, -1),
+    goalMs=(0, 0.5),
+    gapGoalMs=(0, 0.5),
+    timeoutMs=(0.5,),
+    weight=(0, 0.5),
+    stride=(0, -1),
+    maxHeaderBytes=(0,),
+    maxBodyBytes=(0,),
+    headerTimeoutMs=(0, 0.5),
+    idleTimeoutMs=(0, 0.5),
+)
+def list_allowances_of_configurations(document):
+    """Return which requests may go where, and the limits on them."""
+    table = decode_routing_table(to_json(document), POSITION)
+    if isinstance(table, Failure):
+        return table
+    limits = table.limits
+    allowances = {
+        "header bytes": limits.max_header_bytes,
+        "body bytes": limits.max_body_bytes,
+        "header time": limits.header_timeout_s,
+        "idle time": limits.idle_timeout_s,
+    }
+    for pool in table.pools.values():
+        allowances[pool.name, "connections"] = pool.max_connections
+        if pool.engine is None:
+            allowances[pool.name, "no engine"] = 1
+        else:
+            allowances[pool.name, "slots"] = pool.engine.slots
+            allowances[pool.name, "tokens"] = pool.engine.cache_tokens
+            allowances[pool.name, "fetches"] = pool.engine.can_fetch
+    paths = ("/orders/x", "/drafts/x", "/open/x", "/other/x", "/")
+    for host in ("a.example", "", "other.example"):
+        for path in paths:
+            for key in ("k1", "k2", "k3", "unknown", "", None):
+                for what, measure in list_requests(table, host, path, key):
+                    allowances[host, path, key, *what] = measure
+    return allowances
+
+
+def list_requests(table, host, path, key):
+    """Return where a request may go and for how long, if it is served at all."""
+    headers = [(b"Host", host.encode()), (b"Attempt-Id", b"a")]
+    if key is not None:
+        headers.append((b"Authorization", b"Bearer " + key.encode()))
+    request = HttpRequest("POST", path.encode(), headers, b"", 0.0)
+    incoming = decode_request(request, table)
+    if isinstance(incoming, Failure):
+        return
+    route = incoming.route
+    yield ("workspace", incoming.workspace), 1
+    yield ("seconds",), route.timeout_s
+    yield ("servers",), route.max_servers
+    yield ("repeated",), route.is_repeatable
+    for name, weight in route.pools:
+        for region in (Region("north"), Region("south"), None):
+            is_allowed = name in table.pools and incoming.allows_region(region)
+            yield ("pool", name, region), bool(weight and is_allowed)
+
+
+@pytest.mark.parametrize("name", READERS)
+def test_sound_documents_are_read(name):
+    reader = READERS[name]
+    for document in reader.documents:
+        allowances = reader.list_allowances(document)
+        assert not isinstance(allowances, Failure) and allowances
+
+
+@pytest.mark.parametrize("name", READERS)
+def test_replaced_field_allows_nothing_that_the_document_did_not(name):
+    reader = READERS[name]
+    faults, count = [], 0
+    for document, path, odd, odd_document in list_odd_documents(reader):
+        count += 1
+        allowances = reader.list_allowances(odd_document)
+        if isinstance(allowances, Failure):
+            if find_field(path) not in allowances.reason:
+                faults.append((path, odd, f"not named: {allowances.reason}"))
+            continue
+        former = reader.list_allowances(document)
+        faults += [
+            (path, odd, f"allowed: {what}: {former.get(what)} -> {measure}")
+            for what, measure in allowances.items()
+            if not measure <= former.get(what, float("-inf"))
+        ]
+    assert count > 20
+    assert not faults, "\n".join(map(repr, faults))
