Refuse configurations with odd figures of cold servers

A `coldPerS` of null, text, a list or zero was logged and then read as zero, which does not limit the requests to a service's cold servers, so an operator's slip lifted the limit that the version before it had (FAILBACK). An odd `coldStartS` made new servers count as warm.

Change: odd figures refuse the document by the name of the field, as all other fields do, and the version before it stays in force; the decoder kept such documents on purpose until now ("the rest of it is sound"), against which the users decided. A cold time without any `coldPerS` is still told and not limited.

--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -1,5 +1,6 @@
 """Decoders of the operator's configuration and of backend server entries."""
 
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
@@ -185,23 +186,13 @@
 
 def _read_cold_figures(service: Mapping) -> tuple[float, float, str]:
     """Return the cold time and rate of a service, and what is odd about them."""
-    figures, problems = {}, []
-    for name, highest in (
-        ("coldStartS", MAX_COLD_START_S),
-        ("coldPerS", MAX_COLD_PER_S),
-    ):
-        figures[name] = 0.0
-        try:
-            figures[name] = _read_number(service, name, 0)
-        except MALFORMED_ERRORS as error:
-            problems.append(describe_error(error))
-        if figures[name] > highest:
-            problems.append(f"{name} is above {highest:g}")
-            figures[name] = highest
-    cold_start_s, cold_per_s = figures.values()
-    if not problems and cold_start_s and not cold_per_s:
-        problems.append("a cold time without a rate")
-    return cold_start_s, cold_per_s, "; ".join(problems)
+    cold_start_s = _read_number(service, "coldStartS", 0, MAX_COLD_START_S)
+    cold_per_s = _read_number(service, "coldPerS", 0, MAX_COLD_PER_S)
+    if not cold_start_s or cold_per_s:
+        return cold_start_s, cold_per_s, ""
+    if "coldPerS" in service:
+        raise ValueError("coldPerS must be above zero where coldStartS is")
+    return cold_start_s, cold_per_s, "a cold time without a rate"
 
 
 def _decode_workspace_keys(document: Mapping) -> dict[str, WorkspaceKey] | None:
@@ -342,16 +333,25 @@
     return value
 
 
-def _read_number(document: Mapping, name: str, default: float | None = None) -> float:
+def _read_number(
+    document: Mapping,
+    name: str,
+    default: float | None = None,
+    highest: float = math.inf,
+) -> float:
     """Return a number that is not negative.
 
     Null is no number, also in an optional field.
 
     :param default: number that a missing field stands for; ``None`` if the field is
         required.
+    :param highest: highest allowed number.
     """
     value = document[name] if default is None else document.get(name, default)
-    return require_finite(value, name, lowest=0)
+    number = require_finite(value, name, lowest=0)
+    if number > highest:
+        raise ValueError(f"{name} must be at most {highest:g}")
+    return number
 
 
 def _read_positive(document: Mapping, name: str, default: float) -> float:
--- a/bilberryspring/platform/tests/test_document_decoders.py
+++ b/bilberryspring/platform/tests/test_document_decoders.py
@@ -195,12 +195,15 @@
     assert isinstance(decode_server("i", value), BackendServer | Failure)
 
 
-def decode_pool(**figures):
+def decode_service(**figures):
     service = {**CONFIGURATION["services"][0], **figures}
     document = {**CONFIGURATION, "services": [service]}
     position = StorePosition(StoreEpoch(1), 1)
-    table = decode_routing_table(json.dumps(document).encode(), position)
-    return table.pools["desk"]
+    return decode_routing_table(json.dumps(document).encode(), position)
+
+
+def decode_pool(**figures):
+    return decode_service(**figures).pools["desk"]
 
 
 def test_figures_of_cold_servers_are_decoded():
@@ -211,25 +214,31 @@
     assert decode_pool().cold_per_s == 0.0
 
 
+# Guards against an odd rate being read as a missing one, which does not limit the
+# requests to cold servers.
 @pytest.mark.parametrize(
-    ("start_s", "per_s", "expected"),
+    ("start_s", "per_s", "field"),
     [
-        (-1, 13.0, (0.0, 13.0)),
-        ("soon", 13.0, (0.0, 13.0)),
-        (True, 13.0, (0.0, 13.0)),
-        (3.0, -5, (3.0, 0.0)),
-        (3.0, [13], (3.0, 0.0)),
-        (3.0, 0, (3.0, 0.0)),
-        (1e300, 13.0, (300.0, 13.0)),
-        (3.0, 1e300, (3.0, 1e6)),
+        (-1, 13.0, "coldStartS"),
+        ("soon", 13.0, "coldStartS"),
+        (True, 13.0, "coldStartS"),
+        (None, 13.0, "coldStartS"),
+        (3.0, -5, "coldPerS"),
+        (3.0, [13], "coldPerS"),
+        (3.0, 0, "coldPerS"),
+        (3.0, None, "coldPerS"),
+        (1e300, 13.0, "coldStartS"),
+        (3.0, 1e300, "coldPerS"),
     ],
 )
-def test_odd_figures_of_cold_servers_are_told_and_the_sound_ones_hold(
-    start_s, per_s, expected
-):
-    pool = decode_pool(coldStartS=start_s, coldPerS=per_s)
-    assert (pool.cold_start_s, pool.cold_per_s) == expected
-    assert pool.cold_problem
+def test_odd_figures_of_cold_servers_are_refused_by_name(start_s, per_s, field):
+    failure = decode_service(coldStartS=start_s, coldPerS=per_s)
+    assert isinstance(failure, Failure) and field in failure.reason
+
+
+def test_cold_time_without_a_rate_is_told():
+    pool = decode_pool(coldStartS=3.0)
+    assert (pool.cold_start_s, pool.cold_per_s) == (3.0, 0.0) and pool.cold_problem
 
 
 @pytest.mark.parametrize(
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -7,6 +7,7 @@
 
 import copy
 import json
+import math
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -141,6 +142,7 @@
     engine = {"slots": 8, "kvTokens": 9000, "stride": 9, "moves": False}
     document["services"] += [
         {"name": "engines", "maxConns": 10, "engine": engine},
+        {"name": "cold", "maxConns": 10, "coldStartS": 3.0, "coldPerS": 13.0},
         {"name": "other", "maxConns": 10},
     ]
     document["tenants"].append(
@@ -165,6 +167,8 @@
     timeoutMs=(0.5,),
     weight=(0, 0.5),
     stride=(0, -1),
+    coldStartS=(0, 0.5),
+    coldPerS=(0.5,),
     maxHeaderBytes=(0,),
     maxBodyBytes=(0,),
     headerTimeoutMs=(0, 0.5),
@@ -184,6 +188,7 @@
     }
     for pool in table.pools.values():
         allowances[pool.name, "connections"] = pool.max_connections
+        allowances[pool.name, "cold rate"] = pool.cold_per_s or math.inf
         if pool.engine is None:
             allowances[pool.name, "no engine"] = 1
         else:
