Refuse server entries with an odd start, report number or cold time

An odd `coldRemainingMs` was read as no statement, so a listed server that had turned cold again got its whole share; null in it, in `born` or in `seq` was read as a missing field.

Change: the three optional fields are absent or sound; anything else refuses the entry by the name of the field. Other servers' entries hold as before.

Two cases of the former reading of an odd cold time, which the decoder told by a negative number, became cases of a refusal.

--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -54,8 +54,6 @@
 # Larger integers have no exact floating-point number.
 MAX_INTEGER = 2**53
 MAX_REPORT_NUMBER = 2**32 - 1
-# Stands for a cold time that is not a number of milliseconds.
-UNREADABLE_COLD_S = -1.0
 MAX_COLD_START_S = MAX_COLD_S
 MAX_COLD_PER_S = 1e6
 
@@ -234,7 +232,7 @@
     try:
         # An id that cannot be encoded has no hash.
         server_id.encode()
-        entry = parse_json(value, MAX_SERVER_ENTRY_BYTES)
+        entry = _require_object(parse_json(value, MAX_SERVER_ENTRY_BYTES), "entry")
         host, port = split_address(_require_text(entry, "address"))
         if not port or not is_unicast_ip(host):
             raise ValueError("address must be an IP address and a port")
@@ -245,9 +243,9 @@
             port=port,
             availability_zone=AvailabilityZone(_require_text(entry, "zone")),
             slots=require_int(entry["slots"], "slots", 1, MAX_SLOTS),
-            is_ready=_READINESS_BY_STATE[entry["state"]],
-            started_at_ms=_read_count(entry, "born", MAX_INTEGER),
-            report_number=_read_count(entry, "seq", MAX_REPORT_NUMBER),
+            is_ready=_require_choice(entry, "state", _READINESS_BY_STATE),
+            started_at_ms=require_int(entry.get("born", 0), "born", 0, MAX_INTEGER),
+            report_number=require_int(entry.get("seq", 0), "seq", 0, MAX_REPORT_NUMBER),
             cold_remaining_s=_read_cold_remaining_s(entry),
         )
     except MALFORMED_ERRORS as error:
@@ -257,21 +255,10 @@
         return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
 
 
-def _read_count(entry: Mapping, name: str, highest: int) -> int:
-    """Return a number of an entry; zero if the entry states no sound one."""
-    try:
-        return require_int(entry.get(name), name, 0, highest)
-    except ValueError:
-        return 0
-
-
 def _read_cold_remaining_s(entry: Mapping) -> float | None:
-    if entry.get("coldRemainingMs") is None:
+    if "coldRemainingMs" not in entry:
         return None
-    try:
-        return _read_number(entry, "coldRemainingMs") / 1000
-    except MALFORMED_ERRORS:
-        return UNREADABLE_COLD_S
+    return _read_number(entry, "coldRemainingMs") / 1000
 
 
 def _require_object(value: Any, name: str) -> Mapping:
--- a/bilberryspring/platform/tests/test_document_decoders.py
+++ b/bilberryspring/platform/tests/test_document_decoders.py
@@ -241,12 +241,19 @@
     assert (pool.cold_start_s, pool.cold_per_s) == (3.0, 0.0) and pool.cold_problem
 
 
-@pytest.mark.parametrize(
-    ("remaining_ms", "expected_s"),
-    [(1500, 1.5), (0, 0.0), (None, None), (-1, -1.0), ("x", -1.0), (True, -1.0)],
-)
+@pytest.mark.parametrize(("remaining_ms", "expected_s"), [(1500, 1.5), (0, 0.0)])
 def test_cold_time_of_an_entry_is_decoded(remaining_ms, expected_s):
     entry = {**SERVER_ENTRY, "coldRemainingMs": remaining_ms}
     server = decode_server("a", json.dumps(entry).encode())
+    without_time = decode_server("a", json.dumps(SERVER_ENTRY).encode())
     assert server.cold_remaining_s == expected_s
-    assert server == decode_server("a", json.dumps(SERVER_ENTRY).encode())
+    assert without_time.cold_remaining_s is None and server == without_time
+
+
+# Guards against an odd cold time, start or report number being read as a missing one,
+# with which a cold server or one that left gets requests.
+@pytest.mark.parametrize("field", ["coldRemainingMs", "born", "seq"])
+@pytest.mark.parametrize("value", [None, -1, "x", "", True, [], {}])
+def test_entry_with_an_odd_optional_field_is_refused_by_name(field, value):
+    failure = decode_server("a", json.dumps({**SERVER_ENTRY, field: value}).encode())
+    assert isinstance(failure, Failure) and field in failure.reason
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -18,8 +18,11 @@
 from bilberryspring.connection.http_caller import HttpRequest
 from bilberryspring.identifiers import Region, StoreEpoch
 from bilberryspring.platform.caller_requests import decode_request
-from bilberryspring.platform.document_decoders import decode_routing_table
-from bilberryspring.platform.tests.platform_standin import CONFIGURATION
+from bilberryspring.platform.document_decoders import (
+    decode_routing_table,
+    decode_server,
+)
+from bilberryspring.platform.tests.platform_standin import CONFIGURATION, ServerStandin
 from bilberryspring.request.errors import Failure
 
 POSITION = StorePosition(StoreEpoch(1), 9)
@@ -224,6 +227,32 @@
             yield ("pool", name, region), bool(weight and is_allowed)
 
 
+ENTRY = {
+    **ServerStandin().make_entry(),
+    "address": "127.0.0.1:80",
+    "seq": 7,
+    "born": 1_700_000_000_000,
+    "coldRemainingMs": 3000,
+}
+
+
+@register_reader(ENTRY, {**ENTRY, "state": "draining"}, coldRemainingMs=(0, 0.5))
+def list_allowances_of_server_entries(entry):
+    """Return which requests the server of an entry may get."""
+    server = decode_server("s1", to_json(entry))
+    if isinstance(server, Failure):
+        return server
+    name = server.pool, server.availability_zone, server.host, server.port
+    return {
+        (*name, "slots"): server.slots,
+        (*name, "new requests"): server.is_ready,
+        (*name, "warmth"): -(server.cold_remaining_s or 0.0),
+        # Evidence that the server came back after it had left.
+        (*name, "start"): server.started_at_ms,
+        (*name, "report"): server.report_number,
+    }
+
+
 @pytest.mark.parametrize("name", READERS)
 def test_sound_documents_are_read(name):
     reader = READERS[name]
