Refuse odd flags and empty keys in the store's responses

A page or a change whose entry of an evacuated zone has an empty key looked as if that zone's evacuation had been taken back, and so did an event with any `tombstone` that counts as true, such as a text. An odd `truncated` made a part of a list look like the whole.

Change: the flags are true or false, and a key is not empty; a page or a list of changes that breaks this is refused by the name of the field. An event with an odd `tombstone` counts as an entry that can't be read, which keeps its zone evacuated and names no server.

--- a/bilberryspring/platform/metadata_messages.py
+++ b/bilberryspring/platform/metadata_messages.py
@@ -213,38 +213,50 @@
     """
     key = _decode_key(body)
     position = StorePosition(epoch, parse_int(body, "revision"))
-    if body.get("tombstone"):
+    if _read_flag(body, "tombstone"):
         return StoreItem(key, None, position)
     return StoreItem(key, base64.b64decode(body["value"], validate=True), position)
 
 
 def _decode_key(body: Mapping) -> str:
     key = body["key"]
-    if not isinstance(key, str):
-        raise ValueError("a key is not a string")
+    if not isinstance(key, str) or not key:
+        raise ValueError("key must be a string that is not empty")
     return key
 
 
-def _decode_items(bodies: object, position: StorePosition) -> tuple[StoreItem, ...]:
+def _read_flag(body: Mapping, name: str) -> bool:
+    value = body.get(name, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} must be true or false")
+    return value
+
+
+def _decode_items(
+    body: Mapping, name: str, position: StorePosition
+) -> tuple[StoreItem, ...]:
     """Decode each item by itself, so that a malformed one does not hide the others.
 
     An item of which only the key is readable has an empty value, which no reader
     accepts. One whose key cannot be encoded is left out.
 
-    :param bodies: JSON documents of items or events.
+    :param body: JSON document with a list of items or events.
+    :param name: name of the list.
     :param position: position of an item that does not state its own.
     :raises ValueError: if an item has no key. Without it, a list that lacks the item
         would look as if the item had been removed.
     """
-    if not isinstance(bodies, list):
-        raise ValueError("the items are not a list")
+    if not isinstance(body[name], list):
+        raise ValueError(f"{name} must be a list")
     items = []
-    for body in bodies:
-        key = _decode_key(body)
+    for item in body[name]:
+        if not isinstance(item, dict) or "key" not in item:
+            raise ValueError(f"{name} must hold objects with a key")
+        key = _decode_key(item)
         if not _is_encodable(key):
             continue
         try:
-            items.append(decode_item(body, position.epoch))
+            items.append(decode_item(item, position.epoch))
         except MALFORMED_ERRORS:
             items.append(StoreItem(key, b"", position))
     return tuple(items)
@@ -268,8 +280,8 @@
     :returns: items, position of the store, and whether another page follows.
     """
     position = StorePosition(epoch, parse_int(body, "currentRev"))
-    items = _decode_items(body["items"], position)
-    return items, position, bool(body.get("truncated"))
+    items = _decode_items(body, "items", position)
+    return items, position, _read_flag(body, "truncated")
 
 
 def decode_changes(body: Mapping, since: StorePosition) -> StoreChanges:
@@ -281,4 +293,4 @@
     # A response without events may have a revision older than the requested one.
     revision = max(parse_int(body, "currentRev"), since.revision)
     position = StorePosition(since.epoch, revision)
-    return StoreChanges(_decode_items(body["events"], position), position)
+    return StoreChanges(_decode_items(body, "events", position), position)
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -16,13 +16,23 @@
 
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.http_caller import HttpRequest
-from bilberryspring.identifiers import Region, StoreEpoch
+from bilberryspring.identifiers import AvailabilityZone, Region, StoreEpoch
 from bilberryspring.platform.caller_requests import decode_request
 from bilberryspring.platform.document_decoders import (
     decode_routing_table,
     decode_server,
 )
+from bilberryspring.platform.evacuation_watcher import EvacuationWatcher
+from bilberryspring.platform.metadata_messages import (
+    StoreListing,
+    decode_changes,
+    decode_item,
+    decode_page,
+    decode_response,
+    parse_body,
+)
 from bilberryspring.platform.tests.platform_standin import CONFIGURATION, ServerStandin
+from bilberryspring.process.zone_evacuations import make_zone_evacuations
 from bilberryspring.request.errors import Failure
 
 POSITION = StorePosition(StoreEpoch(1), 9)
@@ -253,6 +263,65 @@
     }
 
 
+def make_item(zone, revision, **fields):
+    item = {"key": f"op/evacuate/{zone}", "revision": revision, "value": "e30="}
+    return {**item, **fields}
+
+
+def list_allowed_zones(body, decode, apply):
+    """Return which zones get requests after a response to an evacuation's watcher."""
+    evacuations = make_zone_evacuations(count_servers=lambda zone: 1)
+    watcher = EvacuationWatcher(None, evacuations)
+    items = [make_item("z1", 2), make_item("z2", 3)]
+    for item in items:
+        watcher._apply_change(decode_item(item, POSITION.epoch))
+    response = decode_response(200, to_json(body), POSITION.epoch)
+    decoded = parse_body(response, decode)
+    if isinstance(decoded, Failure):
+        return decoded
+    apply(watcher, decoded)
+    zones = [AvailabilityZone(name) for name in ("z1", "z2", "z3")]
+    return {zone: not evacuations.is_evacuated(zone) for zone in zones}
+
+
+@register_reader(
+    {
+        "items": [make_item("z1", 2), make_item("z2", 3)],
+        "truncated": False,
+        "currentRev": 9,
+    },
+    items=([],),
+    currentRev=(0, -1),
+)
+def list_allowances_of_store_pages(body):
+    def apply(watcher, page):
+        items, position, is_truncated = page
+        if not is_truncated:
+            watcher._apply_listing(StoreListing(items, position))
+
+    return list_allowed_zones(
+        body, lambda page: decode_page(page, POSITION.epoch), apply
+    )
+
+
+@register_reader(
+    {
+        "events": [make_item("z1", 5, tombstone=False), make_item("z3", 6)],
+        "currentRev": 9,
+    },
+    events=([],),
+    currentRev=(0, -1),
+)
+def list_allowances_of_store_changes(body):
+    def apply(watcher, changes):
+        for item in changes.items:
+            watcher._apply_change(item)
+
+    return list_allowed_zones(
+        body, lambda changes: decode_changes(changes, POSITION), apply
+    )
+
+
 @pytest.mark.parametrize("name", READERS)
 def test_sound_documents_are_read(name):
     reader = READERS[name]
