Refuse settings files with an empty or odd section

A section of the router's settings that is empty, of another type, or without any field that the router reads was read as a missing one: `limits = ""` lifted the bounds on memory and descriptors, and `bounds = {}` brought back larger defaults for retries and load. `maxFds = 0.5` became zero, which stands for no bound.

Change: a stated section has one of its fields, `maxFds` is an integer above zero, and ports are integers. At a start the process ends and names the field; a reload keeps the settings before it and logs `update_refused`, as for any other malformed field.

--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bilberryspring.identifiers import AvailabilityZone, Region
-from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error, require_int
 from bilberryspring.process.addresses import split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
@@ -82,6 +82,7 @@
 
     def __init__(self, content: Mapping[str, Any]):
         self._content = content
+        self._fields_by_section: dict[str, list[str]] = {}
         self.errors: list[str] = []
 
     def read(self, path: str, check: Callable[[Any], Any], default: Any = None) -> Any:
@@ -91,9 +92,12 @@
         :param check: returns the checked value, or raises ``ValueError``.
         :param default: value of an absent field; ``None`` if the field is required.
         """
-        value: Any = self._content
-        for name in path.split("."):
-            value = value.get(name) if isinstance(value, Mapping) else None
+        section, _, field = path.rpartition(".")
+        content: Any = self._content
+        if section:
+            self._fields_by_section.setdefault(section, []).append(field)
+            content = content.get(section)
+        value = content.get(field) if isinstance(content, Mapping) else None
         if value is None:
             if default is None:
                 self.errors.append(f"{path}: missing")
@@ -104,6 +108,20 @@
             self.errors.append(f"{path}: {error}")
             return default
 
+    def check_sections(self) -> None:
+        """Record each section that is stated without any of the fields read from it.
+
+        Its fields would get their defaults, as if the section were missing.
+        """
+        for section, fields in self._fields_by_section.items():
+            if section not in self._content:
+                continue
+            content = self._content[section]
+            if not isinstance(content, Mapping):
+                self.errors.append(f"{section}: must be a table")
+            elif not content.keys() & set(fields):
+                self.errors.append(f"{section}: must have one of {', '.join(fields)}")
+
 
 def _check_nonempty_text(value: Any) -> str:
     if not isinstance(value, str) or not value:
@@ -129,12 +147,15 @@
     return 0.0 if value == 0 and value is not False else _check_positive(value)
 
 
+def _check_count(value: Any) -> int:
+    return require_int(value, "the number", 1)
+
+
 def _check_port_range(value: Any) -> int:
     if not isinstance(value, list) or len(value) != 2:
         raise ValueError("must be a list of the first and the last port")
-    if not all(isinstance(port, int) and 0 < port < 65_536 for port in value):
-        raise ValueError("must hold port numbers")
-    return value[0]
+    first, _ = (require_int(port, "port", 1, 65_535) for port in value)
+    return first
 
 
 def _check_seeds(value: Any) -> tuple[str, ...]:
@@ -182,7 +203,7 @@
         "peer_port": read("internalPorts", _check_port_range),
         "link_mbps": read("limits.linkMbps", _check_positive, 1000.0),
         "memory_mib": read("limits.memoryMb", _check_positive, 0.0),
-        "max_descriptors": int(read("limits.maxFds", _check_positive, 0.0)),
+        "max_descriptors": read("limits.maxFds", _check_count, 0),
         "seed_ips": read("seeds", _check_seeds, ()),
         "store_address": read("platform.address", _check_address),
         "leaving_s": read("bounds.drainMs", _check_positive, 2000.0) / 1000,
@@ -195,6 +216,7 @@
         "cold_slack": read("bounds.coldSlack", _check_not_negative, 0.0),
         "regions": read("zones", _check_regions, {}),
     }
+    reader.check_sections()
     if reader.errors:
         reason = f"{path}: {'; '.join(reader.errors)}"
         return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -8,6 +8,7 @@
 import copy
 import json
 import math
+import tempfile
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -31,6 +32,7 @@
     decode_response,
     parse_body,
 )
+from bilberryspring.platform.settings_file import load_machine_settings
 from bilberryspring.platform.tests.platform_standin import CONFIGURATION, ServerStandin
 from bilberryspring.process.zone_evacuations import make_zone_evacuations
 from bilberryspring.request.errors import Failure
@@ -322,6 +324,81 @@
     )
 
 
+SETTINGS = {
+    "node": "front-1",
+    "ip": "127.0.0.1",
+    "zone": "a",
+    "internalPorts": [7340, 7355],
+    "seeds": ["127.0.0.1:8229"],
+    "zones": {"a": "north", "b": "south"},
+    "listen": {
+        "front": "127.0.0.1:8227",
+        "ready": "127.0.0.1:8220",
+        "control": "127.0.0.1:8229",
+    },
+    "limits": {"linkMbps": 100.0, "memoryMb": 300, "maxFds": 4100},
+    "bounds": {
+        "drainMs": 1000,
+        "graceS": 4,
+        "retryBudgetRatio": 0.1,
+        "budgetExtra": 58,
+        "budgetWindowS": 20,
+        "capFactor": 1.5,
+        "coldOverage": 1.5,
+        "coldSlack": 5,
+    },
+    "platform": {"address": "127.0.0.1:8223"},
+}
+
+
+def to_toml(value):
+    """Encode a value, as a table within a line; an empty text stands for null."""
+    if isinstance(value, dict):
+        members = [f"{name} = {to_toml(member)}" for name, member in value.items()]
+        return "{" + ", ".join(members) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(to_toml, value)) + "]"
+    return json.dumps("" if value is None else value)
+
+
+@register_reader(
+    SETTINGS,
+    seeds=([],),
+    zones=({},),
+    linkMbps=(0.5,),
+    memoryMb=(0.5,),
+    drainMs=(0.5,),
+    graceS=(0.5,),
+    retryBudgetRatio=(0, 0.5),
+    budgetExtra=(0, 0.5),
+    budgetWindowS=(0.5,),
+    capFactor=(0.5,),
+    coldOverage=(0.5,),
+    coldSlack=(0, 0.5),
+)
+def list_allowances_of_platform_settings(document):
+    text = "\n".join(f"{name} = {to_toml(value)}" for name, value in document.items())
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(text)
+        file.flush()
+        settings = load_machine_settings(file.name)
+    if isinstance(settings, Failure):
+        return settings
+    return {
+        "descriptors": settings.max_descriptors or math.inf,
+        "memory": settings.memory_mib or math.inf,
+        "bandwidth": settings.link_mbps,
+        "retry ratio": settings.retry_ratio,
+        "retries": settings.retry_extra / settings.retry_window_s,
+        "load": settings.load_factor,
+        "cold requests": settings.cold_overage,
+        "cold slack": settings.cold_slack,
+        "requests after a leaving": settings.leaving_s,
+        "time to stop": settings.stop_s,
+        **{("zone in", *pair): 1 for pair in settings.regions.items()},
+    }
+
+
 @pytest.mark.parametrize("name", READERS)
 def test_sound_documents_are_read(name):
     reader = READERS[name]
