Refuse instance lists with empty or odd fields

The fleet's instance list read a weight of zero, null, text or a list as a missing one, which is 1.0, so an instance with a small share got a full one. Ids, zones, regions and addresses of any type became text (`None`, `[]`), a list of agents without a pool passed, and `instances: {}` was an empty list.

Change: an entry has texts, an agent has a pool, a stated weight is a finite number above zero, and the revision is an integer. Anything else refuses the list by the path of the field, as an invalid state or role did, and the list before it stays in force.

--- a/bilberryspring/platform/instances.py
+++ b/bilberryspring/platform/instances.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import math
 from collections.abc import Mapping
 from dataclasses import replace
 
@@ -20,7 +19,7 @@
 from bilberryspring.connection.http_bodies import read_body
 from bilberryspring.connection.turn_client import TurnConnector
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName, Region
-from bilberryspring.malformed_input import MALFORMED_ERRORS
+from bilberryspring.malformed_input import MALFORMED_ERRORS, require_finite, require_int
 from bilberryspring.process.accounting import ControlMechanism, Ledger
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
@@ -45,29 +44,49 @@
     'platform_unavailable'
     """
     try:
-        instances = tuple(_parse_instance(entry) for entry in document["instances"])
-        return InstanceList(int(document["revision"]), instances)
+        entries = document["instances"]
+        if not isinstance(entries, list):
+            raise ValueError("instances is not a list")
+        instances = tuple(
+            _parse_instance(entry, f"instances[{position}]")
+            for position, entry in enumerate(entries)
+        )
+        revision = require_int(document["revision"], "revision", 0)
+        return InstanceList(revision, instances)
     except MALFORMED_ERRORS as error:
         reason = f"malformed instance list: {type(error).__name__}: {error}"
         return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, reason)
 
 
-def _parse_instance(entry: Mapping[str, object]) -> Instance:
-    weight = float(entry.get("weight") or 1.0)
-    if not 0 < weight < math.inf:
-        raise ValueError("weight must be a finite number above zero")
+def _parse_instance(entry: Mapping[str, object], path: str) -> Instance:
+    if not isinstance(entry, dict):
+        raise ValueError(f"{path} is not an object")
+    role = Role(_read_text(entry, "role", path))
+    weight = require_finite(entry.get("weight", 1.0), f"{path}.weight")
+    if weight <= 0:
+        raise ValueError(f"{path}.weight is not above zero")
+    has_pool = role is Role.AGENT or entry.get("pool", "") != ""
     return Instance(
-        instance_id=InstanceId(str(entry["instance_id"])),
-        role=Role(entry["role"]),
-        pool=PoolName(str(entry.get("pool") or "")),
-        availability_zone=AvailabilityZone(str(entry["availability_zone"])),
-        region=Region(str(entry["region"])),
-        address=str(entry["address"]),
-        state=InstanceState(entry["state"]),
+        instance_id=InstanceId(_read_text(entry, "instance_id", path)),
+        role=role,
+        pool=PoolName(_read_text(entry, "pool", path) if has_pool else ""),
+        availability_zone=AvailabilityZone(
+            _read_text(entry, "availability_zone", path)
+        ),
+        region=Region(_read_text(entry, "region", path)),
+        address=_read_text(entry, "address", path),
+        state=InstanceState(_read_text(entry, "state", path)),
         weight=weight,
     )
 
 
+def _read_text(entry: Mapping[str, object], name: str, path: str) -> str:
+    value = entry.get(name)
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{path}.{name} is not a string with characters")
+    return value
+
+
 class InstanceListClient:
     """A client that fetches the instance list over HTTP.
 
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from bilberryspring.capability.instance_list import InstanceState
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.http_caller import HttpRequest
 from bilberryspring.identifiers import AvailabilityZone, Region, StoreEpoch
@@ -24,6 +25,7 @@
     decode_server,
 )
 from bilberryspring.platform.evacuation_watcher import EvacuationWatcher
+from bilberryspring.platform.instances import parse_instance_list
 from bilberryspring.platform.metadata_messages import (
     StoreListing,
     decode_changes,
@@ -399,6 +401,44 @@
     }
 
 
+INSTANCES = [
+    {
+        "instance_id": f"{role}-1",
+        "role": role,
+        "pool": pool,
+        "availability_zone": "a",
+        "region": "north",
+        "address": "127.0.0.1:7000",
+        "state": state,
+        "weight": 0.25,
+    }
+    for role, pool, state in (
+        ("agent", "engines", "live"),
+        ("router", "", "leaving"),
+    )
+]
+
+
+@register_reader(
+    {"revision": 3, "instances": INSTANCES},
+    revision=(0,),
+    instances=([],),
+    weight=(0.5,),
+)
+def list_allowances_of_instance_lists(document):
+    """Return which instances may get which share of the requests."""
+    instance_list = parse_instance_list(document)
+    if isinstance(instance_list, Failure):
+        return instance_list
+    allowances = {"revision": instance_list.revision}
+    for each in instance_list.instances:
+        is_live = each.state is InstanceState.LIVE
+        place = each.pool, each.availability_zone, each.region, each.address
+        allowances[each.instance_id, each.role, *place, "new work"] = is_live
+        allowances[each.instance_id, "weight"] = each.weight
+    return allowances
+
+
 @pytest.mark.parametrize("name", READERS)
 def test_sound_documents_are_read(name):
     reader = READERS[name]
