Refuse replies of the key-value service with odd flags, lists or ids

Replies about claims read any value that counts as true as `succeeded`, other objects as empty lists, true as the integer one, and an empty or odd `cluster_id` as one that is not stated, with which a late reply of a former history of the store passes.

Change: flags are true or false, lists are lists, integers are integers or their text, and a stated header names its cluster or its revision. The service leaves out what is empty, so absent fields keep their meaning. The reason has the path of the field; the outcome of a call with such a reply is unknown, as before.

--- a/bilberryspring/platform/keyvalue_messages.py
+++ b/bilberryspring/platform/keyvalue_messages.py
@@ -6,9 +6,9 @@
 """
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from bilberryspring.capability.store import (
     Compare,
@@ -29,6 +29,7 @@
     prefix_end,
 )
 from bilberryspring.identifiers import StoreHistoryId
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 
 __all__ = [
     "WatchMessage",
@@ -45,6 +46,7 @@
 ]
 
 JsonObject = dict[str, Any]
+T = TypeVar("T")
 
 # Names of the gateway's protocol.
 _WIRE_TARGETS = {
@@ -81,7 +83,9 @@
     return base64.b64encode(raw).decode("ascii")
 
 
-def _decode_bytes(text: str) -> bytes:
+def _decode_bytes(text: object, name: str) -> bytes:
+    if not isinstance(text, str):
+        raise ValueError(f"{name} is not a string")
     return base64.b64decode(text, validate=True)
 
 
@@ -187,7 +191,7 @@
     :param reply: JSON object of the reply.
     :returns: the revision, zero if the reply has none.
     """
-    return int(reply.get("header", {}).get("revision", 0))
+    return _read_int(_read_header(reply), "revision")
 
 
 def parse_history_id(reply: JsonObject) -> StoreHistoryId:
@@ -198,7 +202,38 @@
     :param reply: JSON object of the reply.
     :returns: the identity, empty if the reply has none.
     """
-    return StoreHistoryId(str(reply.get("header", {}).get("cluster_id", "")))
+    header = _read_header(reply)
+    if "cluster_id" not in header:
+        return StoreHistoryId("")
+    cluster_id = header["cluster_id"]
+    if isinstance(cluster_id, bool) or not isinstance(cluster_id, int | str):
+        raise ValueError("cluster_id is not an id")
+    if not cluster_id:
+        raise ValueError("cluster_id is empty")
+    return StoreHistoryId(str(cluster_id))
+
+
+def _read_header(reply: JsonObject) -> JsonObject:
+    header = reply.get("header", {})
+    if not isinstance(header, dict):
+        raise ValueError("header is not an object")
+    if "header" in reply and not header.keys() & {"cluster_id", "revision"}:
+        raise ValueError("header has neither cluster_id nor revision")
+    return header
+
+
+def _read_int(raw: JsonObject, name: str) -> int:
+    """Return an integer of a reply, zero if it is left out.
+
+    The service encodes integers of 64 bits as text.
+    """
+    value = raw.get(name, 0)
+    try:
+        if isinstance(value, int | str) and not isinstance(value, bool):
+            return int(value)
+    except ValueError:
+        pass
+    raise ValueError(f"{name} is not an integer")
 
 
 def decode_key_value(raw: JsonObject) -> KeyValue:
@@ -207,12 +242,12 @@
     :param raw: JSON object of the key.
     """
     return KeyValue(
-        key=_decode_bytes(raw["key"]).decode(),
-        value=_decode_bytes(raw.get("value", "")),
-        create_revision=int(raw.get("create_revision", 0)),
-        mod_revision=int(raw.get("mod_revision", 0)),
-        version=int(raw.get("version", 0)),
-        lease_id=int(raw.get("lease", 0)),
+        key=_decode_bytes(raw["key"], "key").decode(),
+        value=_decode_bytes(raw.get("value", ""), "value"),
+        create_revision=_read_int(raw, "create_revision"),
+        mod_revision=_read_int(raw, "mod_revision"),
+        version=_read_int(raw, "version"),
+        lease_id=_read_int(raw, "lease"),
     )
 
 
@@ -222,21 +257,53 @@
     :param reply: JSON object of the reply.
     """
     return KeyRange(
-        items=tuple(decode_key_value(raw) for raw in reply.get("kvs", ())),
+        items=_decode_each(reply, "kvs", decode_key_value),
         revision=parse_revision(reply),
-        more=bool(reply.get("more", False)),
+        more=_read_flag(reply, "more"),
         history_id=parse_history_id(reply),
     )
 
 
+def _decode_each(
+    reply: JsonObject, name: str, decode: Callable[[JsonObject], T]
+) -> tuple[T, ...]:
+    """Decode the objects of a list; the service leaves out empty lists.
+
+    :raises ValueError: if one of them is malformed; the message has its position.
+    """
+    values = reply.get(name, [])
+    if not isinstance(values, list):
+        raise ValueError(f"{name} is not a list")
+    decoded = []
+    for position, value in enumerate(values):
+        try:
+            decoded.append(decode(value))
+        except MALFORMED_ERRORS as error:
+            reason = f"{name}[{position}]: {describe_error(error)}"
+            raise ValueError(reason) from error
+    return tuple(decoded)
+
+
+def _read_flag(reply: JsonObject, name: str) -> bool:
+    """Return a flag of a reply; the service leaves out those that are false."""
+    value = reply.get(name, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} is not true or false")
+    return value
+
+
 def _decode_response(response: JsonObject) -> OperationResult:
+    if not isinstance(response, dict) or len(response) != 1:
+        raise ValueError("the response is not an object with one member")
     [(name, reply)] = response.items()
+    if not isinstance(reply, dict):
+        raise ValueError(f"{name} is not an object")
     if name == "response_put":
         return PutResult(parse_revision(reply))
     if name == "response_range":
         return decode_key_range(reply)
     if name == "response_delete_range":
-        return DeleteResult(int(reply.get("deleted", 0)))
+        return DeleteResult(_read_int(reply, "deleted"))
     if name == "response_txn":
         return decode_transaction(reply)
     raise ValueError(f"unknown response {name}")
@@ -248,8 +315,8 @@
     :param reply: JSON object of the reply.
     """
     return TransactionResult(
-        succeeded=bool(reply.get("succeeded", False)),
-        responses=tuple(_decode_response(raw) for raw in reply.get("responses", ())),
+        succeeded=_read_flag(reply, "succeeded"),
+        responses=_decode_each(reply, "responses", _decode_response),
         revision=parse_revision(reply),
         history_id=parse_history_id(reply),
     )
@@ -260,15 +327,13 @@
 
     :param result: JSON object of the message.
     """
-    if result.get("canceled") and result.get("compact_revision"):
+    if _read_flag(result, "canceled") and result.get("compact_revision"):
         return WatchMessage(
             (), 0, parse_history_id(result), int(result["compact_revision"])
         )
-    events = tuple(
-        WatchEvent(
-            _EVENT_KINDS[raw.get("type", "PUT")],
-            decode_key_value(raw["kv"]),
-        )
-        for raw in result.get("events", ())
-    )
+    events = _decode_each(result, "events", _decode_event)
     return WatchMessage(events, parse_revision(result), parse_history_id(result))
+
+
+def _decode_event(raw: JsonObject) -> WatchEvent:
+    return WatchEvent(_EVENT_KINDS[raw.get("type", "PUT")], decode_key_value(raw["kv"]))
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -5,6 +5,7 @@
 that tells what a document allows.
 """
 
+import base64
 import copy
 import json
 import math
@@ -18,7 +19,8 @@
 from bilberryspring.capability.instance_list import InstanceState
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.http_caller import HttpRequest
-from bilberryspring.identifiers import AvailabilityZone, Region, StoreEpoch
+from bilberryspring.identifiers import AvailabilityZone, InstanceId, Region, StoreEpoch
+from bilberryspring.malformed_input import MALFORMED_ERRORS, describe_error
 from bilberryspring.platform.caller_requests import decode_request
 from bilberryspring.platform.document_decoders import (
     decode_routing_table,
@@ -26,6 +28,10 @@
 )
 from bilberryspring.platform.evacuation_watcher import EvacuationWatcher
 from bilberryspring.platform.instances import parse_instance_list
+from bilberryspring.platform.keyvalue_messages import (
+    decode_transaction,
+    parse_history_id,
+)
 from bilberryspring.platform.metadata_messages import (
     StoreListing,
     decode_changes,
@@ -37,7 +43,13 @@
 from bilberryspring.platform.settings_file import load_machine_settings
 from bilberryspring.platform.tests.platform_standin import CONFIGURATION, ServerStandin
 from bilberryspring.process.zone_evacuations import make_zone_evacuations
-from bilberryspring.request.errors import Failure
+from bilberryspring.request.claim_protocol import (
+    ClaimAttempt,
+    ClaimHeld,
+    interpret_claim_result,
+)
+from bilberryspring.request.claim_values import encode_claim_value, make_claimed_value
+from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 POSITION = StorePosition(StoreEpoch(1), 9)
 # Replaces a value by one that is empty or of another type.
@@ -439,6 +451,49 @@
     return allowances
 
 
+CLAIM = make_claimed_value(b"token", InstanceId("agent-1"), "a" * 32, 10**6)
+OTHER_CLAIM = make_claimed_value(b"other", InstanceId("agent-2"), "a" * 32, 10**6)
+CLAIMED_ITEM = {
+    "key": "aw==",
+    "value": base64.b64encode(encode_claim_value(OTHER_CLAIM)).decode(),
+    "create_revision": "1",
+    "mod_revision": "2",
+    "version": "1",
+    "lease": "0",
+}
+
+
+@register_reader(
+    {
+        "header": {"cluster_id": "7", "revision": "9"},
+        "succeeded": False,
+        "responses": [{"response_range": {"kvs": [CLAIMED_ITEM], "more": False}}],
+    },
+    # The service leaves out what is empty; an absent key is claimed only if the next
+    # transaction finds it absent as well.
+    kvs=([],),
+    response_range=({},),
+    revision=(0, -1),
+    create_revision=(0, -1),
+    mod_revision=(0, -1),
+    version=(0, -1),
+    lease=(0, -1),
+    cluster_id=(-1,),
+)
+def list_allowances_of_transaction_replies(reply):
+    """Return whether a request may run whose claim has this result."""
+    try:
+        result, history_id = decode_transaction(reply), parse_history_id(reply)
+    except MALFORMED_ERRORS as error:
+        return make_failure(ErrorKind.PLATFORM_UNAVAILABLE, describe_error(error))
+    allowances = {"reply of another history": history_id != "7"}
+    if len(result.responses) == 1:
+        attempt = ClaimAttempt("k", CLAIM)
+        claim = interpret_claim_result(attempt, result, now_s=999.0)
+        allowances["run"] = isinstance(claim, ClaimHeld)
+    return allowances
+
+
 @pytest.mark.parametrize("name", READERS)
 def test_sound_documents_are_read(name):
     reader = READERS[name]
