Refuse published configurations with null members or an empty list of routes

In the fleet with agents a workspace with `routes: []` could use all routes, as if it had no such member; `model: null` let an engine route serve any model of its pool, without the model's limit of tokens, and `placement_policy: null` brought the router's default back.

Change: null is refused by the path of the member, and a stated list of routes has one name at least.

--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -43,6 +43,12 @@
 from bilberryspring.platform.settings_file import load_machine_settings
 from bilberryspring.platform.tests.platform_standin import CONFIGURATION, ServerStandin
 from bilberryspring.process.zone_evacuations import make_zone_evacuations
+from bilberryspring.request.caller_requests import (
+    CallerRequest,
+    find_workspace,
+    resolve_chat,
+    resolve_service,
+)
 from bilberryspring.request.claim_protocol import (
     ClaimAttempt,
     ClaimHeld,
@@ -50,6 +56,8 @@
 )
 from bilberryspring.request.claim_values import encode_claim_value, make_claimed_value
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+from bilberryspring.version.document import check_document
+from bilberryspring.version.index import digest_key, make_index
 
 POSITION = StorePosition(StoreEpoch(1), 9)
 # Replaces a value by one that is empty or of another type.
@@ -494,6 +502,121 @@
     return allowances
 
 
+PUBLISHED = {
+    "pools": [
+        {
+            "name": "engines",
+            "kind": "engine",
+            "load_bound": 1.1,
+            "load_floor": 1.0,
+            "max_running": 4,
+            "checks_fencing": True,
+            "placement_policy": "least_loaded",
+        },
+        {"name": "desk", "kind": "service"},
+    ],
+    "models": [{"name": "m", "pool": "engines", "max_context_tokens": 100}],
+    "adapters": [{"name": "a", "model": "m"}],
+    "workspaces": [
+        {
+            "name": "ward",
+            "key_digests": [digest_key("k1")],
+            "weight": 0.25,
+            "routes": ["chat"],
+            "max_queued": 4,
+        }
+    ],
+    "work_ranks": [
+        {"name": "urgent", "order": 1, "minimum_share": 0.25, "target_wait_s": 1.0}
+    ],
+    "routes": [
+        {
+            "name": "chat",
+            "pool": "engines",
+            "model": "m",
+            "work_rank": "urgent",
+            "idempotent": False,
+            "deadline_s": 2.0,
+        },
+        {
+            "name": "orders",
+            "pool": "desk",
+            "work_rank": "urgent",
+            "idempotent": False,
+            "methods": ["PUT"],
+            "deadline_s": 2.0,
+            "require_idempotency_key": True,
+        },
+    ],
+}
+
+
+@register_reader(
+    PUBLISHED,
+    pools=([],),
+    models=([],),
+    adapters=([],),
+    workspaces=([],),
+    work_ranks=([],),
+    key_digests=([],),
+    load_floor=(0, 0.5),
+    weight=(0.5,),
+    order=(0,),
+    minimum_share=(0, 0.5),
+    target_wait_s=(0.5,),
+    deadline_s=(0.5,),
+)
+def list_allowances_of_published_configurations(document):
+    """Return which keys may use which routes, with which limits."""
+    checked = check_document(to_json(document))
+    if isinstance(checked, list):
+        reason = "; ".join(f"{fault.path}: {fault.message}" for fault in checked)
+        return make_failure(ErrorKind.CONFIGURATION_INVALID, reason)
+    index = make_index(checked)
+    allowances = {}
+    for pool in checked.pools:
+        name = pool.name, pool.kind, pool.placement_policy
+        allowances[*name, "load"] = pool.load_bound
+        allowances[*name, "floor"] = pool.load_floor
+        allowances[*name, "running"] = pool.max_running
+        allowances[*name, "no fencing"] = not pool.checks_fencing
+    for model in checked.models:
+        allowances[model.name, model.pool, "tokens"] = model.max_context_tokens
+    for key in ("k1", "", "unknown"):
+        request = CallerRequest("", "", "", {"authorization": f"Bearer {key}"}, b"")
+        workspace = find_workspace(index, request)
+        if isinstance(workspace, Failure):
+            continue
+        allowances[key, workspace.name, "weight"] = workspace.weight
+        allowances[key, workspace.name, "queued"] = workspace.max_queued
+        for name, opened in list_opened_requests(index, workspace, request):
+            if not isinstance(opened, Failure):
+                name = key, *name, opened.pool, opened.route, opened.rank, opened.model
+                allowances[name] = 1
+                allowances[*name, "repeated"] = opened.idempotent
+                deadline_s = index.routes[opened.route].deadline_s
+                allowances[*name, "seconds"] = deadline_s
+    return allowances
+
+
+def list_opened_requests(index, workspace, request):
+    """Return what agents would get of requests to each model and service."""
+    for model in ("chat", "m", "a", "orders", ""):
+        for size in (10, 1000):
+            messages = [{"role": "user", "content": "x" * size}]
+            request.body = to_json({"model": model, "messages": messages})
+            chat = resolve_chat(index, workspace, request)
+            opened = chat if isinstance(chat, Failure) else chat.open_message
+            yield ("chat", model, size), opened
+    for method in ("PUT", "POST", "DELETE"):
+        for key in ("", "0123456789abcdef"):
+            request.method, request.body = method, b""
+            request.headers["idempotency-key"] = key
+            for route in ("orders", "chat"):
+                opened = resolve_service(index, workspace, route, "x", request)
+                yield (method, route, key), opened
+
+
 @pytest.mark.parametrize("name", READERS)
 def test_sound_documents_are_read(name):
     reader = READERS[name]
--- a/bilberryspring/version/document.py
+++ b/bilberryspring/version/document.py
@@ -195,6 +195,12 @@
         if name in names:
             yield DocumentFault(f"{path}.name", f"duplicate name {name!r}")
         names.add(name)
+    if isinstance(item, dict):
+        for member, value in item.items():
+            # Null would stand for the default, which may allow more.
+            if value is None:
+                message = "must not be null; leave the member out for its default"
+                yield DocumentFault(f"{path}.{member}", message)
     try:
         model = SECTION_MODELS[section]
         checked.objects[section][position] = model.model_validate(item)
--- a/bilberryspring/version/objects.py
+++ b/bilberryspring/version/objects.py
@@ -107,13 +107,13 @@
 
     :param key_digests: SHA-256 digest of each of its keys; several during key rotation.
     :param weight: share of a work rank's capacity, relative to other workspaces.
-    :param routes: names of the routes that it may use; empty for all.
+    :param routes: names of the routes that it may use; all if the member is absent.
     :param max_queued: maximum number of its requests in the queue of one instance.
     """
 
     key_digests: list[KeyDigest] = Field(max_length=MAX_WORKSPACE_KEYS)
     weight: float = Field(default=1.0, gt=0, le=10_000)
-    routes: list[Name] = Field(default_factory=list)
+    routes: list[Name] = Field(default_factory=list, min_length=1)
     max_queued: int = Field(default=64, ge=1, le=100_000)
 
 
