Read the settings of routers and agents strictly

The settings of the fleet with agents were coerced: `retry_ratio: true` became 1.0, so that each request could be retried, and times of true became one second. `memory_mb` and `max_descriptors` of zero or false stood for values that are not stated, which lifts their bounds.

Change: a field has its type, and the two limits are above zero where they are stated. The program names the field and does not start, as for any other malformed setting.

--- a/bilberryspring/process/settings.py
+++ b/bilberryspring/process/settings.py
@@ -33,7 +33,10 @@
 
 
 class _StrictModel(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    # Strict, since true would otherwise be read as one and false as zero.
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, strict=True, allow_inf_nan=False
+    )
 
 
 class ProcessSettings(_StrictModel):
@@ -99,9 +102,9 @@
         is not sent again.
     :param drain_notice_s: time between reporting not ready and closing the listener
         when draining.
-    :param memory_mb: memory of the machine in MiB; zero if it is not stated.
-    :param max_descriptors: open files and sockets that the process may have; zero if it
-        is not stated.
+    :param memory_mb: memory of the machine in MiB, above zero; zero if it is absent.
+    :param max_descriptors: open files and sockets that the process may have, above
+        zero; zero if it is absent.
     """
 
     caller_address: Address
@@ -113,8 +116,8 @@
     retry_ratio: float = Field(default=0.2, ge=0, le=1)
     max_attempts: int = Field(default=4, ge=1, le=16)
     drain_notice_s: float = Field(default=0.5, ge=0, le=60)
-    memory_mb: float = Field(default=0, ge=0)
-    max_descriptors: int = Field(default=0, ge=0)
+    memory_mb: float = Field(default=0, gt=0)
+    max_descriptors: int = Field(default=0, gt=0)
 
 
 class AgentSettings(ProcessSettings):
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -42,6 +42,12 @@
 )
 from bilberryspring.platform.settings_file import load_machine_settings
 from bilberryspring.platform.tests.platform_standin import CONFIGURATION, ServerStandin
+from bilberryspring.process.operator_authentication import authenticate_operator
+from bilberryspring.process.settings import (
+    AgentSettings,
+    RouterSettings,
+    load_settings,
+)
 from bilberryspring.process.zone_evacuations import make_zone_evacuations
 from bilberryspring.request.caller_requests import (
     CallerRequest,
@@ -617,6 +623,92 @@
                 yield (method, route, key), opened
 
 
+PROCESS_SETTINGS = {
+    "instance_id": "node-1",
+    "availability_zone": "a",
+    "region": "north",
+    "fleet_secret": "0123456789abcdef",
+    "key_value_addresses": ["127.0.0.1:2379"],
+    "instance_list_address": "127.0.0.1:7001",
+    "peer_address": "127.0.0.1:7002",
+    "administration_address": "127.0.0.1:7003",
+    "key_value_timeout_s": 0.25,
+    "ping_timeout_s": 0.25,
+    "connect_timeout_s": 0.25,
+    "idle_connection_s": 0.25,
+    "drain_timeout_s": 0.25,
+}
+ROUTER_SETTINGS = {
+    **PROCESS_SETTINGS,
+    "caller_address": "127.0.0.1:7004",
+    "operator_key_digests": {"ayse": digest_key("k1")},
+    "max_body_bytes": 100,
+    "retry_ratio": 0.1,
+    "max_attempts": 2,
+    "drain_notice_s": 0.1,
+    "memory_mb": 300,
+    "max_descriptors": 400,
+}
+AGENT_SETTINGS = {
+    **PROCESS_SETTINGS,
+    "pool": "engines",
+    "backend_address": "127.0.0.1:7005",
+    "retained_answers_bytes": 100,
+    "retained_answer_s": 0.25,
+    "window_chunks": 2,
+    "claim_retention_s": 10.0,
+    "max_direct_claim_agents": 2,
+    "max_claimed_call_s": 0.25,
+}
+SOUND_SETTINGS = {
+    "operator_key_digests": ({},),
+    **{name: (0.5,) for name in PROCESS_SETTINGS if name.endswith("_s")},
+    "retry_ratio": (0, 0.5),
+    "drain_notice_s": (0, 0.5),
+    "memory_mb": (0.5,),
+    "retained_answer_s": (0.5,),
+    "claim_retention_s": (0.5,),
+    "max_direct_claim_agents": (0,),
+    "max_claimed_call_s": (0.5,),
+}
+
+
+def list_allowances_of_settings(document, model):
+    """Return the limits of a process, and which operators' keys it accepts."""
+    with tempfile.NamedTemporaryFile("wb", suffix=".json") as file:
+        file.write(to_json(document))
+        file.flush()
+        settings = load_settings(file.name, model)
+    if isinstance(settings, Failure):
+        return settings
+    allowances = {
+        name: value
+        for name, value in settings.model_dump().items()
+        if name in document and not isinstance(value, str | list | dict)
+    }
+    for name in ("memory_mb", "max_descriptors"):
+        if name in allowances:
+            allowances[name] = allowances[name] or math.inf
+    # A short retention of claims lets a key run again.
+    if "claim_retention_s" in allowances:
+        allowances["claim_retention_s"] *= -1
+    for key in ("k1", "", "unknown"):
+        digests = getattr(settings, "operator_key_digests", {})
+        operator = authenticate_operator(digests, f"Bearer {key}")
+        allowances[key, operator, "operator"] = operator is not None
+    return allowances
+
+
+@register_reader(ROUTER_SETTINGS, **SOUND_SETTINGS)
+def list_allowances_of_router_settings(document):
+    return list_allowances_of_settings(document, RouterSettings)
+
+
+@register_reader(AGENT_SETTINGS, **SOUND_SETTINGS)
+def list_allowances_of_agent_settings(document):
+    return list_allowances_of_settings(document, AgentSettings)
+
+
 @pytest.mark.parametrize("name", READERS)
 def test_sound_documents_are_read(name):
     reader = READERS[name]
