Refuse load messages with negative or infinite figures

A message of another agent with a negative load made that agent look idle, and a negative or infinite cost per second raised the share of a workspace instead of lowering it (measured in the generated test: 1.0 and infinity where -3.0 is the most); one that is not a number made the sum of all agents not a number. Only loads and rates that are not finite were dropped, when they were merged.

Change: load, drain rate and cost are finite and not negative, or the message is refused by the name of the field, and what was known before stays.

--- a/bilberryspring/connection/load_messages.py
+++ b/bilberryspring/connection/load_messages.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from bilberryspring.identifiers import ConfigVersion
-from bilberryspring.malformed_input import MALFORMED_ERRORS
+from bilberryspring.malformed_input import MALFORMED_ERRORS, require_finite
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -140,15 +140,18 @@
             tuple(
                 LoadSample(
                     sample.instance,
-                    sample.load,
-                    sample.drainRate,
+                    require_finite(sample.load, "load", lowest=0),
+                    require_finite(sample.drainRate, "drainRate", lowest=0),
                     sample.ageMs,
                     sample.leaving,
                 )
                 for sample in root.samples
             ),
             tuple(
-                WorkspaceUsage(entry.workspace, entry.costPerSecond)
+                WorkspaceUsage(
+                    entry.workspace,
+                    require_finite(entry.costPerSecond, "costPerSecond", lowest=0),
+                )
                 for entry in root.usage
             ),
             tuple(root.suspects),
