Refuse version records and updates with odd numbers, digests or histories

Heads, version records, announcements, updates and deltas of the fleet's configuration were coerced: true became version one, null the digest `None`, and an announcement with an empty or odd `history` counted as one that states none, so that one of a former history of the store could pass.

Change: versions and counts are integers, digests and histories texts that are not empty, and a delta's sections hold two lists; the reason names the field.

--- a/bilberryspring/malformed_input.py
+++ b/bilberryspring/malformed_input.py
@@ -13,6 +13,7 @@
     "parse_json",
     "require_finite",
     "require_int",
+    "require_text",
 ]
 
 # Exceptions that decoding malformed input may raise.
@@ -105,6 +106,18 @@
     return number
 
 
+def require_text(value: Any, name: str) -> str:
+    """Return a value that must be a string with characters.
+
+    :param value: value of a document.
+    :param name: name of the value, for the exception.
+    :raises ValueError: if it is not a string, or empty.
+    """
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} must be a string that is not empty")
+    return value
+
+
 def _make_object(members: list[tuple[str, Any]]) -> dict[str, Any]:
     document = dict(members)
     if len(document) != len(members):
--- a/bilberryspring/platform/document_decoders.py
+++ b/bilberryspring/platform/document_decoders.py
@@ -31,6 +31,7 @@
     parse_json,
     require_finite,
     require_int,
+    require_text,
 )
 from bilberryspring.process.addresses import is_unicast_ip, split_address
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
@@ -300,10 +301,7 @@
 
 
 def _require_text(document: Mapping, name: str) -> str:
-    value = document[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} must be a string that is not empty")
-    return value
+    return require_text(document[name], name)
 
 
 def _require_choice(document: Mapping, name: str, choices: Mapping[str, T]) -> T:
--- a/bilberryspring/platform/instances.py
+++ b/bilberryspring/platform/instances.py
@@ -19,7 +19,12 @@
 from bilberryspring.connection.http_bodies import read_body
 from bilberryspring.connection.turn_client import TurnConnector
 from bilberryspring.identifiers import AvailabilityZone, InstanceId, PoolName, Region
-from bilberryspring.malformed_input import MALFORMED_ERRORS, require_finite, require_int
+from bilberryspring.malformed_input import (
+    MALFORMED_ERRORS,
+    require_finite,
+    require_int,
+    require_text,
+)
 from bilberryspring.process.accounting import ControlMechanism, Ledger
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
@@ -81,10 +86,7 @@
 
 
 def _read_text(entry: Mapping[str, object], name: str, path: str) -> str:
-    value = entry.get(name)
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{path}.{name} is not a string with characters")
-    return value
+    return require_text(entry.get(name), f"{path}.{name}")
 
 
 class InstanceListClient:
--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -88,8 +88,11 @@
 )
 from bilberryspring.request.claim_values import encode_claim_value, make_claimed_value
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
+from bilberryspring.version.delta import decode_delta
 from bilberryspring.version.document import check_document
 from bilberryspring.version.index import digest_key, make_index
+from bilberryspring.version.record import decode_head, decode_version_record
+from bilberryspring.version.updates import decode_announcement, decode_update
 
 POSITION = StorePosition(StoreEpoch(1), 9)
 # Replaces a value by one that is empty or of another type.
@@ -742,6 +745,61 @@
     return list_allowances_of_settings(document, AgentSettings)
 
 
+def list_adopted_versions(decoded):
+    """Return which version a record makes a process adopt."""
+    return decoded if isinstance(decoded, Failure) else {decoded: 1}
+
+
+@register_reader({"version": 3, "digest": "d"}, version=(0,))
+def list_allowances_of_heads(members):
+    return list_adopted_versions(decode_head(to_json(members)))
+
+
+@register_reader({"version": 3, "digest": "d"}, version=(0,))
+def list_allowances_of_version_records(members):
+    return list_adopted_versions(decode_version_record(to_json(members) + b"\nx"))
+
+
+@register_reader({"version": 3, "history": "7"}, version=(0,))
+def list_allowances_of_announcements(members):
+    return list_adopted_versions(decode_announcement(to_json(members) + b"\n{}"))
+
+
+@register_reader({"version": 3, "digest": "d", "deltas": 2}, version=(0,), deltas=(0,))
+def list_allowances_of_updates(members):
+    return list_adopted_versions(decode_update(to_json(members) + b"\n{}\n{}"))
+
+
+@register_reader(
+    {
+        "base_version": 2,
+        "version": 3,
+        "base_digest": "c",
+        "digest": "d",
+        "sections": {"pools": {"changed": PUBLISHED["pools"], "removed": ["old"]}},
+    },
+    base_version=(0,),
+    version=(0,),
+    sections=({},),
+    changed=([],),
+    removed=([],),
+    load_floor=(0, 0.5),
+    # The digest covers the objects as they are after the change.
+    placement_policy=(None,),
+)
+def list_allowances_of_deltas(document):
+    delta = decode_delta(to_json(document))
+    if isinstance(delta, Failure):
+        return delta
+    allowances = {(delta.base_version, delta.version, delta.digest): 1}
+    for section, change in delta.sections.items():
+        for item in change.changed:
+            allowances[section, item.model_dump_json()] = 1
+        for name in change.removed:
+            allowances[section, name] = 1
+    return allowances
+
+
 @register_reader(
     {
         "load": 5.0,
--- a/bilberryspring/version/delta.py
+++ b/bilberryspring/version/delta.py
@@ -7,8 +7,10 @@
 import json
 from dataclasses import dataclass
 
+from pydantic import ValidationError
+
 from bilberryspring.identifiers import digest_content
-from bilberryspring.malformed_input import MALFORMED_ERRORS
+from bilberryspring.malformed_input import MALFORMED_ERRORS, require_int, require_text
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.version.objects import (
     SECTION_MODELS,
@@ -193,21 +195,38 @@
     try:
         document = json.loads(raw)
         sections: dict[Section, SectionDelta] = {}
-        for section, change in document.get("sections", {}).items():
-            model = SECTION_MODELS[section]
-            changed = tuple(map(model.model_validate, change["changed"]))
-            sections[section] = SectionDelta(changed, tuple(change["removed"]))
+        stated_sections = document.get("sections", {})
+        if not isinstance(stated_sections, dict):
+            raise ValueError("sections must be an object")
+        for section, change in stated_sections.items():
+            sections[section] = _decode_section(section, change)
         return ConfigurationDelta(
-            base_version=int(document["base_version"]),
-            version=int(document["version"]),
-            base_digest=str(document["base_digest"]),
-            digest=str(document["digest"]),
+            base_version=require_int(document["base_version"], "base_version", 0),
+            version=require_int(document["version"], "version", 0),
+            base_digest=require_text(document["base_digest"], "base_digest"),
+            digest=require_text(document["digest"], "digest"),
             sections=sections,
         )
     except MALFORMED_ERRORS as error:
         return _make_invalid_delta(f"malformed delta: {type(error).__name__}: {error}")
 
 
+def _decode_section(section: str, change: object) -> SectionDelta:
+    if section not in SECTION_MODELS:
+        raise ValueError(f"sections must not have {section!r}")
+    if not isinstance(change, dict):
+        raise ValueError(f"{section} must be an object")
+    for name in ("changed", "removed"):
+        if not isinstance(change.get(name), list):
+            raise ValueError(f"{section} must have the list {name}")
+    try:
+        changed = tuple(map(SECTION_MODELS[section].model_validate, change["changed"]))
+    except ValidationError as error:
+        raise ValueError(f"{section}.changed: {error}") from error
+    removed = (require_text(name, f"{section}.removed") for name in change["removed"])
+    return SectionDelta(changed, tuple(removed))
+
+
 def _digest_object(section: Section, item: NamedObject) -> int:
     return int(digest_content(f"{section} {encode_object(item)}".encode()), 16)
 
--- a/bilberryspring/version/record.py
+++ b/bilberryspring/version/record.py
@@ -9,7 +9,12 @@
 import zlib
 from dataclasses import asdict, dataclass
 
-from bilberryspring.malformed_input import MALFORMED_ERRORS
+from bilberryspring.malformed_input import (
+    MALFORMED_ERRORS,
+    require_finite,
+    require_int,
+    require_text,
+)
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 from bilberryspring.version.document import (
     MAX_DOCUMENT_BYTES,
@@ -169,7 +174,10 @@
     """
     try:
         members = json.loads(value)
-        return Head(int(members["version"]), str(members["digest"]))
+        return Head(
+            require_int(members["version"], "version", 0),
+            require_text(members["digest"], "digest"),
+        )
     except MALFORMED_ERRORS as error:
         return _make_corrupt(f"head: {error}")
 
@@ -192,7 +200,11 @@
     header, _, document = value.partition(b"\n")
     try:
         members = json.loads(header)
-        return VersionRecord(int(members["version"]), str(members["digest"]), document)
+        return VersionRecord(
+            require_int(members["version"], "version", 0),
+            require_text(members["digest"], "digest"),
+            document,
+        )
     except MALFORMED_ERRORS as error:
         return _make_corrupt(f"version record: {error}")
 
@@ -214,15 +226,18 @@
     try:
         members = json.loads(header)
         counts = {
-            section: ObjectCounts(int(item["changed"]), int(item["removed"]))
+            section: ObjectCounts(
+                require_int(item["changed"], "changed", 0),
+                require_int(item["removed"], "removed", 0),
+            )
             for section, item in members["counts"].items()
         }
         return ChangeRecord(
-            version=int(members["version"]),
-            digest=str(members["digest"]),
-            token=str(members["token"]),
-            operator=str(members["operator"]),
-            published_s=float(members["published_s"]),
+            version=require_int(members["version"], "version", 0),
+            digest=require_text(members["digest"], "digest"),
+            token=require_text(members["token"], "token"),
+            operator=require_text(members["operator"], "operator"),
+            published_s=require_finite(members["published_s"], "published_s", 0),
             counts=counts,
             delta=delta,
         )
--- a/bilberryspring/version/updates.py
+++ b/bilberryspring/version/updates.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from bilberryspring.identifiers import StoreHistoryId
-from bilberryspring.malformed_input import MALFORMED_ERRORS
+from bilberryspring.malformed_input import MALFORMED_ERRORS, require_int, require_text
 from bilberryspring.request.errors import ErrorKind, Failure, make_failure
 
 __all__ = [
@@ -130,7 +130,13 @@
     version = decode_version(header)
     if isinstance(version, Failure):
         return version
-    history_id = StoreHistoryId(str(json.loads(header).get("history", "")))
+    members = json.loads(header)
+    if "history" not in members:
+        return Announcement(version, delta)
+    try:
+        history_id = StoreHistoryId(require_text(members["history"], "history"))
+    except ValueError as error:
+        return _make_malformed(f"malformed announcement: {error}")
     return Announcement(version, delta, history_id)
 
 
@@ -152,7 +158,7 @@
         members = json.loads(payload)
         if not isinstance(members, dict):
             raise ValueError("expected an object")
-        return int(members["version"])
+        return require_int(members["version"], "version", 0)
     except MALFORMED_ERRORS as error:
         return _make_malformed(f"malformed version: {error}")
 
@@ -180,8 +186,9 @@
     header, _, content = payload.partition(b"\n")
     try:
         members = json.loads(header)
-        count = int(members["deltas"])
-        version, digest = int(members["version"]), str(members["digest"])
+        count = require_int(members["deltas"], "deltas", 0)
+        version = require_int(members["version"], "version", 0)
+        digest = require_text(members["digest"], "digest")
     except MALFORMED_ERRORS as error:
         return _make_malformed(f"malformed update: {error}")
     if not count:
