--- a/bilberryspring/tests/test_replaced_fields.py
+++ b/bilberryspring/tests/test_replaced_fields.py
@@ -17,6 +17,7 @@
 import pytest
 
 from bilberryspring.capability.instance_list import InstanceState
+from bilberryspring.capability.store import KeyRange, KeyValue, TransactionResult
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.cold_messages import ColdReport
 from bilberryspring.connection.http_caller import HttpRequest
@@ -84,6 +85,7 @@
 from bilberryspring.request.claim_protocol import (
     ClaimAttempt,
     ClaimHeld,
+    ClaimReleased,
     interpret_claim_result,
 )
 from bilberryspring.request.claim_values import encode_claim_value, make_claimed_value
@@ -544,6 +546,36 @@
     return allowances
 
 
+@register_reader(
+    {
+        "state": "claimed",
+        "token": "other",
+        "holder": "agent-2",
+        "digest": "a" * 32,
+        "deadline_ms": 10**6,
+    },
+    {
+        "state": "recorded",
+        "token": "",
+        "digest": "a" * 32,
+        "status": 200,
+        "body": "YQ==",
+    },
+    deadline_ms=(0,),
+    status=(0,),
+    token=("",),
+    holder=("",),
+    digest=("",),
+)
+def list_allowances_of_stored_claims(claim):
+    """Return whether another request with the same key may run."""
+    attempt = ClaimAttempt("k", CLAIM)
+    item = KeyValue("k", to_json(claim), 1, 2, 1)
+    result = TransactionResult(False, (KeyRange((item,), 9),), 9)
+    claim = interpret_claim_result(attempt, result, now_s=999.0)
+    return {"run": isinstance(claim, ClaimHeld | ClaimReleased)}
+
+
 PUBLISHED = {
     "pools": [
         {
