Let test servers close connections whose handler has not begun

A test server's list of writers and tasks was filled in the first step of each connection's handler. That it was this there is likely but not shown; a router in that test still opens connections while the server closes.

Change: connections are registered when they are made, and aborted after the close; serve_streams uses the same server.

--- a/bilberryspring/connection/tests/stream_server.py
+++ b/bilberryspring/connection/tests/stream_server.py
@@ -15,6 +15,7 @@
     def __init__(self, handle):
         self._handle = handle
         self._server = None
+        self._is_closed = False
         self._writers = []
         self._tasks = set()
 
@@ -25,16 +26,21 @@
         :param port: TCP port; zero for a free one.
         :returns: host and port of the listener.
         """
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._server = await asyncio.start_server(self._accept, host, port)
         return self._server.sockets[0].getsockname()
 
-    async def _serve(self, reader, writer):
+    def _accept(self, reader, writer):
+        # A coroutine function would run later, and never if the event loop ends first.
+        if self._is_closed:
+            writer.transport.abort()
+            return
         self._writers.append(writer)
-        self._tasks.add(asyncio.current_task())
-        await self._handle(reader, writer)
+        task = self._handle(reader, writer)
+        self._tasks.add(asyncio.get_running_loop().create_task(task))
 
     async def close(self):
         """Stop listening, close every connection and end its handler."""
+        self._is_closed = True
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
@@ -58,10 +64,8 @@
     :param respond: coroutine function that takes a reader and a writer.
     :returns: a context manager whose value is the port.
     """
-    tasks = set()
 
-    async def serve(reader, writer):
-        tasks.add(asyncio.current_task())
+    async def handle(reader, writer):
         try:
             await respond(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -71,11 +75,9 @@
             with suppress(ConnectionError):
                 await writer.wait_closed()
 
-    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    server = make_stream_server(handle)
+    _, port = await server.start()
     try:
-        yield listener.sockets[0].getsockname()[1]
+        yield port
     finally:
-        listener.close()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await server.close()
