--- a/bilberryspring/platform/tests/test_explain_request.py
+++ b/bilberryspring/platform/tests/test_explain_request.py
@@ -32,7 +32,7 @@
         await self.deployment.start()
         entry = self.deployment.server.make_entry(zone="y")
         await self.deployment.store.put("servers/s2", entry)
-        router = await self.deployment.add_router()
+        router = await self.deployment.add_router(ip="127.0.0.1")
         await router.close()
         settings = router.path.read_text().replace(
             "[bounds]", f'control = "{router.ip}:{self.control_port}"\n[bounds]'
--- a/bilberryspring/platform/tests/test_front_router.py
+++ b/bilberryspring/platform/tests/test_front_router.py
@@ -16,6 +16,7 @@
     ServerStandin,
     StoreStandin,
 )
+from bilberryspring.standin.addresses import make_address_block
 
 SETTINGS_TEMPLATE = """
 node = "{node}"
@@ -123,6 +124,7 @@
         self.store = StoreStandin()
         self.server = ServerStandin()
         self.routers = []
+        self._addresses = make_address_block()
 
     async def start(self):
         await self.store.start()
@@ -131,6 +133,9 @@
         await self.store.put("servers/s1", self.server.make_entry())
 
     async def add_router(self, **options):
+        if not options.keys() & {"ip", "ports"}:
+            # Free ports of 127.0.0.1 may be taken by others before the router listens.
+            options["ip"] = self._addresses.take_host()
         router = Router(self.tmp_path, self.store.address, **options)
         self.routers.append(router)
         await router.start()
@@ -141,6 +146,7 @@
             await router.close()
         await self.server.close()
         await self.store.close()
+        self._addresses.close()
 
 
 @pytest.fixture
