--- a/review/standins_3/stand.py
+++ b/review/standins_3/stand.py
@@ -251,11 +251,20 @@
     """
 
     def __init__(
-        self, record, store, server_id, service, work_s=0.01, slots=64, zone="z1"
+        self,
+        record,
+        store,
+        server_id,
+        service,
+        work_s=0.01,
+        slots=64,
+        zone="z1",
+        keep_alive_s=5,
     ):
         self._record, self._store = record, store
         self.server_id, self._service = server_id, service
         self._work_s, self._slots, self._zone = work_s, slots, zone
+        self._keep_alive_s = keep_alive_s
         self._running = 0
         self._seq = 0
         self._born_ms = round(time.time() * 1000)
@@ -341,7 +350,11 @@
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
         try:
-            while (head := await read_head(reader)) is not None:
+            while True:
+                async with asyncio.timeout(self._keep_alive_s):
+                    head = await read_head(reader)
+                if head is None:
+                    return
                 first, pairs = head
                 headers = dict(pairs)
                 body = await read_body(reader, headers)
@@ -350,7 +363,7 @@
                     return
                 writer.write(answer)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             self._writers.discard(writer)
@@ -358,7 +371,7 @@
 
     async def _answer(self, first: str, headers: dict[str, str], body: bytes) -> bytes:
         load = f"{self._running},0,{self._slots}"
-        common = {"Replica-Load": load, "Keep-Alive": "timeout=5"}
+        common = {"Replica-Load": load, "Keep-Alive": f"timeout={self._keep_alive_s}"}
         request_id = headers.get("attempt-id")
         if first.split(" ")[1] == "/health":
             common["Replica-Id"] = self.server_id
@@ -449,6 +462,7 @@
     """A router process, started with the command of the deploy file."""
 
     def __init__(self, record, folder, number, store_address, ports, **bounds):
+        self.limits = {"memoryMb": 300, "maxFds": 4100}
         self._record, self._folder = record, Path(folder)
         self.name = f"front-{number}"
         self.ip = f"127.0.0.{10 + number}"
@@ -508,8 +522,7 @@
             "[limits]",
             "cpuShare = 0.817",
             "cores = 1",
-            "memoryMb = 300",
-            "maxFds = 4100",
+            *[f"{name} = {value}" for name, value in self.limits.items()],
             "linkMbps = 1000.0",
             "[bounds]",
             *[f"{name} = {value}" for name, value in bounds.items()],
@@ -674,8 +687,14 @@
         self.routers: list[Router] = []
         self.servers: list[Server] = []
 
-    async def start_routers(self, count: int, addresses=(), **bounds) -> None:
-        """Start routers, each with an address of its own for the store if stated."""
+    async def start_routers(self, count, addresses=(), limits=None, **bounds) -> None:
+        """Start routers.
+
+        :param count: number of routers.
+        :param addresses: address of the store for each router; by default its own.
+        :param limits: limits of the machines that differ from the usual ones.
+        :param bounds: bounds that differ from the usual ones.
+        """
         # All machines use the same ports, on addresses of their own.
         ports = find_ports(4)
         addresses = addresses or [self.store.address] * count
@@ -684,6 +703,7 @@
             for number, address in zip(range(1, count + 1), addresses, strict=True)
         ]
         for router in self.routers:
+            router.limits |= limits or {}
             router.write_settings(
                 [f"{each.ip}:{ports[2]}" for each in self.routers[:3]]
             )
