Confirm the configuration's age by news of the configuration alone

Cause: the watch of the configuration waits for 10 s, and its silence shows after 11.5 s. What was to cover this is no news of the configuration: the watch of the servers, which closes all connections only if it is silent itself, and reports of other routers, which name no newer version if their watches are silent too.

Change: a router keeps the age of the store's last word that no version is newer (process/confirmation_age.py). Its own calls on that prefix prove it, and reports of other routers with their age, if their version is not newer than the one here. Once it is half of configApplyMs (0.6 at routers that do not watch for all), the router asks the store while the watch waits, and gives the watch up if the store names a change. A read that is 0.5 s overdue is repeated over a new connection; if that one answers first, connections that were opened before are closed. Routers of former builds report no age; the new ones then ask themselves.

--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -24,6 +24,8 @@
   evacuations @14 :List(ZoneEvacuation);
   coldServers @15 :List(ColdServer);
   cachedParts @16 :List(CachedPart);
+  # One more than the age; zero if the version was never confirmed.
+  nextConfigAgeMs @17 :UInt32;
 }
 
 struct ZoneEvacuation {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -166,6 +166,8 @@
     :param evacuations: availability zones that the operator evacuated, or took back.
     :param cold_servers: observations of servers that are cold, or lately were.
     :param cached_parts: parts of prompts that engines hold.
+    :param config_age_s: seconds since the store confirmed that no configuration version
+        is newer than the active one, negative if it never did.
     """
 
     sender: InstanceId
@@ -185,6 +187,7 @@
     evacuations: tuple[EvacuationReport, ...] = ()
     cold_servers: tuple[ColdReport, ...] = ()
     cached_parts: tuple[CachedPartReport, ...] = ()
+    config_age_s: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -276,6 +279,7 @@
             for leaving in leavings
         ],
         limits=[encode_limit_report(limit) for limit in limits],
+        nextConfigAgeMs=_encode_next_age_ms(report.config_age_s),
     )
     # A list without entries would still take some bytes of each report.
     if evacuations:
@@ -310,6 +314,14 @@
     }
 
 
+def _encode_next_age_ms(age_s: float) -> int:
+    return 0 if age_s < 0 else 1 + _encode_age_ms(age_s)
+
+
+def _decode_next_age_s(next_age_ms: int) -> float:
+    return (next_age_ms - 1) / 1000 if next_age_ms else -1.0
+
+
 def _encode_age_ms(age_s: float) -> int:
     return min(round(age_s * 1000), 0xFFFF_FFFE)
 
@@ -388,6 +400,7 @@
             cached_parts=tuple(
                 decode_cached_part(each) for each in message.cachedParts
             ),
+            config_age_s=_decode_next_age_s(message.nextConfigAgeMs),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
--- a/bilberryspring/platform/configuration_watcher.py
+++ b/bilberryspring/platform/configuration_watcher.py
@@ -8,15 +8,18 @@
 from bilberryspring.platform.metadata_messages import StoreItem, StoreListing
 from bilberryspring.platform.metadata_store import MetadataStore
 from bilberryspring.platform.store_follower import follow_prefix
+from bilberryspring.process.confirmation_age import make_confirmation_age
 from bilberryspring.process.logs import log_event
 from bilberryspring.request.errors import Failure
 
 __all__ = ["ConfigurationWatcher"]
 
 CONFIGURATION_KEY = "op/config"
-# A watch on a stalled connection reports no changes. Reports of other routers announce
-# newer versions in the meantime.
+# A watch on a silent connection reports no changes. The age of the last confirmation
+# shows it long before the watch ends.
 CONFIGURATION_WATCH_WAIT_S = 10.0
+# Time within which a version must be in force, where the platform states none.
+DEFAULT_APPLY_S = 2.0
 
 
 class ConfigurationWatcher:
@@ -24,15 +27,21 @@
 
     :param store: client of the store.
     :param apply_table: called with each routing table of a newer version.
+    :param apply_s: time in seconds within which a version must be in force.
+    :ivar confirmation: age of the store's confirmation that no version is newer.
     """
 
     def __init__(
-        self, store: MetadataStore, apply_table: Callable[[RoutingTable], None]
+        self,
+        store: MetadataStore,
+        apply_table: Callable[[RoutingTable], None],
+        apply_s: float = DEFAULT_APPLY_S,
     ):
         self._store = store
         self._apply_table = apply_table
         self._version = -1
         self._refusal = ""
+        self.confirmation = make_confirmation_age(apply_s)
         self.is_store_watcher: Callable[[], bool] = lambda: True
         self.entry: SnapshotEntry | None = None
 
@@ -52,10 +61,15 @@
             pause_s=0.0,
             replace_all=self._apply_listing,
             apply_change=self._apply_item,
-            report_availability=lambda _: None,
+            report_availability=self._record_availability,
             retries_steadily=lambda: self.is_store_watcher(),
+            confirmation=self.confirmation,
         )
 
+    def _record_availability(self, is_available: bool) -> None:
+        if is_available:
+            self.confirmation.confirm()
+
     def _apply_listing(self, listing: StoreListing) -> None:
         for item in listing.items:
             self._apply_item(item)
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -174,7 +174,7 @@
             self._metrics.observe,
         )
         self._configuration_watcher = ConfigurationWatcher(
-            self._store, self._apply_table
+            self._store, self._apply_table, settings.apply_s
         )
         self._server_watcher = ServerListWatcher(
             self._store,
@@ -203,6 +203,12 @@
         self._server_watcher.is_store_watcher = self._peers.is_watcher
         self._configuration_watcher.is_store_watcher = self._peers.is_watcher
         self._evacuation_watcher.is_store_watcher = self._peers.is_watcher
+        self._configuration_watcher.confirmation.is_store_watcher = (
+            self._peers.is_watcher
+        )
+        self._peers.configuration_confirmation = (
+            self._configuration_watcher.confirmation
+        )
         # The routers that watch the servers watch the evacuations too.
         self._evacuation_watcher.may_skip_watching = lambda: (
             not self._peers.is_watcher()
@@ -232,6 +238,10 @@
                 "Time since the store confirmed the servers, -1 for never",
                 lambda: self._server_watcher.age_s,
             ),
+            "configuration_age_seconds": (
+                "Time since the store confirmed the version in force, -1 for never",
+                lambda: self._configuration_watcher.confirmation.age_s,
+            ),
             "store_calls": ("Calls of the store", lambda: self._store.call_count),
             "server_connections_opened": (
                 "New connections to servers",
@@ -537,6 +547,7 @@
         )
         self._dispatcher.set_load_factor(settings.load_factor)
         self._server_watcher.set_drain_grace(settings.leaving_s)
+        self._configuration_watcher.confirmation.bound_s = settings.apply_s
         self._servers.cold.set_bound(settings.cold_overage, settings.cold_slack)
         # Servers get their region with their next entry.
         self._servers.regions = settings.regions
--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -10,6 +10,8 @@
 import asyncio
 import base64
 import json
+import math
+import time
 from collections.abc import Mapping, Sequence
 from urllib.parse import quote
 
@@ -49,6 +51,9 @@
 # The store responds within some milliseconds. If a response takes longer than a second,
 # a new connection is worth a try.
 CALL_TIMEOUT_S = 1.5
+# A read that is overdue by this much is repeated over a new connection, since an open
+# one may have gone silent while the store is sound.
+READ_PATIENCE_S = 0.5
 # Values of up to a megabyte, encoded in base64, and their keys.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.7
@@ -61,6 +66,9 @@
 
     :param address: ``ip:port`` of the store.
     :ivar epoch: history of the store by its latest response; ``None`` before the first.
+    :ivar failed_s: monotonic time at which the store itself last failed: it refused a
+        connection or a call, or did not answer over a new connection. The silence of a
+        connection that was open before shows no failure of the store.
     """
 
     def __init__(self, address: str):
@@ -68,8 +76,10 @@
         self._epoch_changes = 0
         self._host, self._port = split_address(address)
         self._idle: list[BackendConnection] = []
-        self._busy: set[BackendConnection] = set()
+        # All open connections, and when they were opened.
+        self._opened_s: dict[BackendConnection, float] = {}
         self.call_count = 0
+        self.failed_s = -math.inf
 
     async def read_key(self, key: str) -> StoreItem | None | Failure:
         """Read one key.
@@ -77,7 +87,7 @@
         :param key: key to read.
         :returns: the item, ``None`` if the key does not exist, or a failure.
         """
-        response = await self._call("GET", f"/kv-key?key={quote(key, safe='/')}")
+        response = await self._read(f"/kv-key?key={quote(key, safe='/')}")
         if isinstance(response, Failure):
             return response
         if response.status == 404:
@@ -101,7 +111,7 @@
             path += "&serializable=1"
         page_path = path
         while True:
-            response = await self._call("GET", page_path)
+            response = await self._read(page_path)
             if isinstance(response, Failure):
                 return response
             page = parse_body(
@@ -136,9 +146,11 @@
             return HistoryReplaced()
         path = (
             f"/kv-watch?prefix={quote(prefix, safe='/')}"
-            f"&sinceRev={since.revision}&waitMs={round(max_wait_s * 1000)}"
+            f"&sinceRev={since.revision}&waitMs="
+        )
+        response = await self._read(
+            f"{path}{round(max_wait_s * 1000)}", max_wait_s, f"{path}0"
         )
-        response = await self._call("GET", path, timeout_s=max_wait_s + CALL_TIMEOUT_S)
         if isinstance(response, Failure):
             return response
         if response.epoch != since.epoch:
@@ -240,26 +252,76 @@
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
-            connection.close()
+            self._close(connection)
         self._idle.clear()
 
+    async def _read(
+        self, path: str, max_wait_s: float = 0.0, repeated_path: str = ""
+    ) -> StoreResponse | Failure:
+        """Read, and repeat an overdue read over a new connection.
+
+        The first response counts. If it is that of the repetition, the connection of
+        the first read is silent, and so may be all others that were open.
+
+        :param path: path and query of the read.
+        :param max_wait_s: time in seconds for which the store may hold the response.
+        :param repeated_path: path and query of the repetition, which the store does not
+            hold; empty for the same as ``path``.
+        :returns: the response, or the failure of the last of both reads.
+        """
+        started_s = time.monotonic()
+        first = asyncio.ensure_future(
+            self._call("GET", path, timeout_s=max_wait_s + CALL_TIMEOUT_S)
+        )
+        reads = {first}
+        try:
+            await asyncio.wait(reads, timeout=max_wait_s + READ_PATIENCE_S)
+            if first.done():
+                return first.result()
+            repeated = asyncio.ensure_future(
+                self._call("GET", repeated_path or path, uses_new_connection=True)
+            )
+            reads.add(repeated)
+            finished, pending = await asyncio.wait(
+                reads, timeout=READ_PATIENCE_S, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not finished:
+                self.failed_s = time.monotonic()
+            while pending and all(_has_failed(each) for each in finished):
+                finished, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+            answered = [each for each in finished if not _has_failed(each)]
+            if repeated in answered and not first.done():
+                self._close_connections(started_s + READ_PATIENCE_S)
+            return (answered or list(finished))[0].result()
+        finally:
+            for each in reads:
+                each.cancel()
+
     async def _call(
         self,
         method: str,
         path: str,
         document: Mapping[str, object] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        uses_new_connection: bool = False,
     ) -> StoreResponse | Failure:
         self.call_count += 1
+        started_s = time.monotonic()
         epoch_changes = self._epoch_changes
-        connection = self._take_idle()
+        connection = None if uses_new_connection else self._take_idle()
+        # A watch may be cut, or its connection go silent, while the store is sound.
+        shows_failure = connection is None and timeout_s <= CALL_TIMEOUT_S
         if connection is None:
             opened = await open_connection(self._host, self._port, CONNECT_TIMEOUT_S)
             if isinstance(opened, ConnectionFailure):
+                self.failed_s = time.monotonic()
                 return make_store_failure(
                     f"cannot connect to the store: {opened.reason}"
                 )
             connection = opened
+            self._opened_s[connection] = started_s
         body = b"" if document is None else json.dumps(document).encode()
         lines = [
             f"{method} {path} HTTP/1.1",
@@ -269,27 +331,31 @@
         if body:
             lines.append("Content-Type: application/json")
         connection.send("\r\n".join([*lines, "", ""]).encode("ascii") + body)
-        self._busy.add(connection)
         try:
             async with asyncio.timeout(timeout_s):
                 head, content = await _read_response(connection)
         except TimeoutError:
-            self._close_all_connections()
+            if shows_failure and connection in self._opened_s:
+                self.failed_s = time.monotonic()
+            self._close(connection)
+            self._close_connections(started_s)
             return make_store_failure(
                 f"no response from the store within {timeout_s:.1f} s"
             )
         except asyncio.CancelledError:
-            connection.close()
+            self._close(connection)
             raise
-        finally:
-            self._busy.discard(connection)
         if isinstance(head, ConnectionFailure):
-            connection.close()
+            if shows_failure and connection in self._opened_s:
+                self.failed_s = time.monotonic()
+            self._close(connection)
             return make_store_failure(f"connection {head.kind.value}: {head.reason}")
+        if head.status == 429 or head.status >= 500:
+            self.failed_s = time.monotonic()
         if connection.is_reusable:
             self._idle.append(connection)
         else:
-            connection.close()
+            self._close(connection)
         epoch = self._read_epoch(head, epoch_changes)
         return decode_response(head.status, content, epoch)
 
@@ -315,30 +381,42 @@
         if self.epoch is not None:
             log_event("store_restored", level="WARNING", epoch=epoch, former=self.epoch)
             # Watches of the former history wait for changes that may not come.
-            self._close_all_connections()
+            self._close_connections(math.inf)
         self.epoch = epoch
         self._epoch_changes += 1
         return epoch
 
-    def _close_all_connections(self) -> None:
-        """Close all connections after a timeout or a restoration of the store.
+    def _close(self, connection: BackendConnection) -> None:
+        self._opened_s.pop(connection, None)
+        connection.close()
+
+    def _close_connections(self, opened_before_s: float) -> None:
+        """Close the connections that were opened before some time.
 
-        Whatever stalled one connection may have stalled all of them. A watch would
-        notice that only after its own timeout, which is long.
+        Whatever stalled one connection may have stalled all that were open then. A
+        watch would notice that only after its own timeout, which is long.
+
+        :param opened_before_s: monotonic time in seconds; infinite for all.
         """
-        for connection in (*self._busy, *self._idle):
-            connection.close()
-        self._idle.clear()
+        for connection, opened_s in list(self._opened_s.items()):
+            if opened_s < opened_before_s:
+                self._close(connection)
+                if connection in self._idle:
+                    self._idle.remove(connection)
 
     def _take_idle(self) -> BackendConnection | None:
         while self._idle:
             connection = self._idle.pop()
             if connection.is_reusable:
                 return connection
-            connection.close()
+            self._close(connection)
         return None
 
 
+def _has_failed(read: asyncio.Future[StoreResponse | Failure]) -> bool:
+    return isinstance(read.result(), Failure)
+
+
 async def _read_response(
     connection: BackendConnection,
 ) -> tuple[ResponseHead | ConnectionFailure, bytes]:
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -39,6 +39,7 @@
     :param store_address: ``ip:port`` of the metadata store.
     :param leaving_s: time in seconds after which a draining server must receive no more
         requests.
+    :param apply_s: time in seconds within which a configuration must be in force.
     :param stop_s: time in seconds between the signal to stop and the forced end of the
         process.
     :param retry_ratio: maximum number of retries per request, over all routers.
@@ -64,6 +65,7 @@
     seed_ips: tuple[str, ...]
     store_address: str
     leaving_s: float
+    apply_s: float
     stop_s: float
     retry_ratio: float
     retry_extra: float
@@ -207,6 +209,7 @@
         "seed_ips": read("seeds", _check_seeds, ()),
         "store_address": read("platform.address", _check_address),
         "leaving_s": read("bounds.drainMs", _check_positive, 2000.0) / 1000,
+        "apply_s": read("bounds.configApplyMs", _check_positive, 2000.0) / 1000,
         "stop_s": read("bounds.graceS", _check_positive, 8.0),
         "retry_ratio": read("bounds.retryBudgetRatio", _check_not_negative, 0.2),
         "retry_extra": read("bounds.budgetExtra", _check_not_negative, 0.0),
--- a/bilberryspring/platform/store_follower.py
+++ b/bilberryspring/platform/store_follower.py
@@ -1,16 +1,21 @@
 """Follow the keys with a prefix in the metadata store."""
 
 import asyncio
+import contextlib
 import random
+import time
 from collections.abc import Callable
 
+from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.platform.metadata_messages import (
     HistoryCompacted,
     HistoryReplaced,
+    StoreChanges,
     StoreItem,
     StoreListing,
 )
 from bilberryspring.platform.metadata_store import MetadataStore
+from bilberryspring.process.confirmation_age import ConfirmationAge
 from bilberryspring.process.logs import log_event
 from bilberryspring.request.errors import Failure
 
@@ -35,6 +40,7 @@
     may_skip_watching: Callable[[], bool] = lambda: False,
     needs_full_list: Callable[[], bool] = lambda: False,
     retries_steadily: Callable[[], bool] = lambda: True,
+    confirmation: ConfirmationAge | None = None,
 ) -> None:
     """Keep a view of all keys with a prefix up to date, until cancelled.
 
@@ -55,6 +61,8 @@
         replace newer items by older ones.
     :param retries_steadily: returns true if failed calls are repeated without a
         backoff.
+    :param confirmation: age of the view, to be kept below its bound while a watch
+        waits; ``None`` if the wait is short enough.
     """
     position = None
     failures = 0
@@ -73,7 +81,9 @@
                 position = result.position
                 continue
         else:
-            result = await store.watch_prefix(prefix, position, max_wait_s)
+            result = await _watch_prefix(
+                store, prefix, position, max_wait_s, confirmation
+            )
             if isinstance(result, HistoryCompacted | HistoryReplaced):
                 is_replaced = isinstance(result, HistoryReplaced)
                 reason = "history replaced" if is_replaced else "history compacted"
@@ -102,6 +112,45 @@
         await asyncio.sleep(_draw_retry_delay_s(failures))
 
 
+async def _watch_prefix(
+    store: MetadataStore,
+    prefix: str,
+    position: StorePosition,
+    max_wait_s: float,
+    confirmation: ConfirmationAge | None,
+) -> StoreChanges | HistoryCompacted | HistoryReplaced | Failure:
+    """Wait for changes, and ask the store for them when the view is due.
+
+    A watch that waits shows neither that there is no change nor that its connection
+    still works, so it is given up if the store names a change that it did not report.
+
+    :param store: client of the store.
+    :param prefix: prefix of the keys.
+    :param position: position after which changes are reported.
+    :param max_wait_s: longest time in seconds that the store holds the watch.
+    :param confirmation: age of the view; ``None`` if the wait is short enough.
+    :returns: as :meth:`MetadataStore.watch_prefix`.
+    """
+    if confirmation is None:
+        return await store.watch_prefix(prefix, position, max_wait_s)
+    watch = asyncio.ensure_future(store.watch_prefix(prefix, position, max_wait_s))
+    try:
+        while not watch.done():
+            await asyncio.wait({watch}, timeout=PEER_LIST_POLL_S)
+            if watch.done() or not confirmation.is_due:
+                continue
+            asked_s = time.monotonic()
+            result = await store.watch_prefix(prefix, position, 0.0)
+            if not isinstance(result, StoreChanges) or result.items:
+                return watch.result() if watch.done() else result
+            confirmation.confirm(time.monotonic() - asked_s)
+        return watch.result()
+    finally:
+        watch.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch
+
+
 def _draw_retry_delay_s(failures: int) -> float:
     """Draw the pause before a failed call of the store is repeated.
 
--- a/bilberryspring/platform/tests/platform_standin.py
+++ b/bilberryspring/platform/tests/platform_standin.py
@@ -79,6 +79,7 @@
     :ivar epoch: number of the history, stated in each response; ``None`` to state none.
     :ivar refuses_later_revisions: whether a watch from a revision that does not exist
         yet is refused.
+    :ivar response_delay_s: delay in seconds before each call is handled.
     :ivar leases: keys that are attached to each lease, by its id.
     """
 
@@ -87,6 +88,7 @@
         self.events = []
         self.revision = 1
         self.fault = lambda request: None
+        self.response_delay_s = 0.0
         self.called_paths = []
         self.oldest_revision = 0
         self.epoch = 1
@@ -155,6 +157,7 @@
     async def _inject_fault(self, request, handler):
         self.called_paths.append(request.path)
         injected = self.fault(request)
+        await asyncio.sleep(self.response_delay_s)
         if injected == "silent":
             await asyncio.sleep(60)
         response = await handler(request) if injected is None else injected
--- a/bilberryspring/platform/tests/test_metadata_store.py
+++ b/bilberryspring/platform/tests/test_metadata_store.py
@@ -14,10 +14,16 @@
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.identifiers import StoreEpoch
 from bilberryspring.platform import metadata_store
-from bilberryspring.platform.metadata_messages import HistoryCompacted, StoreConflict
+from bilberryspring.platform.metadata_messages import (
+    HistoryCompacted,
+    StoreChanges,
+    StoreConflict,
+)
 from bilberryspring.platform.metadata_store import make_metadata_store
 from bilberryspring.platform.tests.platform_standin import StoreStandin
 from bilberryspring.request.errors import ErrorKind, Failure
+from bilberryspring.standin.addresses import make_address_block
+from bilberryspring.standin.proxy import Proxy, ProxySettings
 
 FIRST_POSITION = StorePosition(StoreEpoch(1), 1)
 
@@ -138,3 +144,67 @@
 async def test_unreachable_store_is_a_failure():
     client = make_metadata_store("127.0.0.1:1")
     assert isinstance(await client.read_key("k"), Failure)
+
+
+async def silence_open_connections(proxy, client):
+    """Silence the client's connections, at least one of which is idle."""
+    assert not isinstance(await client.list_prefix("a/"), Failure)
+    assert client._idle
+    proxy.silence(lambda record: True)
+
+
+@pytest.fixture
+async def proxied_client(store_and_client):
+    standin, _ = store_and_client
+    addresses = make_address_block()
+    proxy = Proxy(
+        ProxySettings(
+            address=f"{addresses.take_host()}:9000",
+            upstream_address=standin.address,
+            control_address="127.0.0.1:1",
+        )
+    )
+    await proxy.start()
+    client = make_metadata_store(proxy.settings.address)
+    yield standin, proxy, client
+    client.close()
+    await proxy.close()
+    addresses.close()
+
+
+async def test_read_over_a_silent_connection_is_repeated_over_a_new_one(proxied_client):
+    standin, proxy, client = proxied_client
+    await silence_open_connections(proxy, client)
+    started_s = asyncio.get_running_loop().time()
+    changes = await client.watch_prefix("a/", FIRST_POSITION, 0.0)
+    assert isinstance(changes, StoreChanges)
+    elapsed_s = asyncio.get_running_loop().time() - started_s
+    assert elapsed_s < metadata_store.CALL_TIMEOUT_S
+
+
+async def test_silent_watch_ends_those_that_were_opened_before_it(proxied_client):
+    standin, proxy, client = proxied_client
+    long_watch = asyncio.create_task(client.watch_prefix("b/", FIRST_POSITION, 30.0))
+    await asyncio.sleep(0.1)
+    await silence_open_connections(proxy, client)
+    await client.watch_prefix("a/", FIRST_POSITION, 0.0)
+    async with asyncio.timeout(0.2):
+        assert isinstance(await long_watch, Failure)
+    # The connection of the repetition works, and is used again.
+    opened = len(proxy.records)
+    assert not isinstance(await client.list_prefix("a/"), Failure)
+    assert len(proxy.records) == opened
+
+
+async def test_read_that_the_store_answers_late_ends_no_other_call(
+    store_and_client, monkeypatch
+):
+    standin, client = store_and_client
+    monkeypatch.setattr(metadata_store, "READ_PATIENCE_S", 0.1)
+    long_watch = asyncio.create_task(client.watch_prefix("b/", FIRST_POSITION, 30.0))
+    await asyncio.sleep(0.05)
+    standin.response_delay_s = 0.15
+    assert await client.read_key("k") is None
+    await asyncio.sleep(0.1)
+    assert not long_watch.done()
+    long_watch.cancel()
--- a/bilberryspring/platform/tests/test_restored_store.py
+++ b/bilberryspring/platform/tests/test_restored_store.py
@@ -189,8 +189,8 @@
     await asyncio.sleep(0.1)
     client._port = address
     store.epoch = 2
-    connection = next(iter(client._busy))
-    client._busy.clear()
+    connection = next(iter(client._opened_s))
+    client._opened_s.clear()
     await client.read_key("k")
     answer_now.set()
     assert isinstance(await late, Failure)
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -33,6 +33,7 @@
 )
 from bilberryspring.identifiers import InstanceId, StoreEpoch
 from bilberryspring.process.addresses import is_unicast_ip
+from bilberryspring.process.confirmation_age import ConfirmationAge
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.router_snapshots import fetch_snapshot, serve_snapshots
 from bilberryspring.process.server_table import (
@@ -135,6 +136,8 @@
     :param has_fast_link: whether other routers should prefer this one for snapshots and
         as a watcher.
     :param read_clock: monotonic clock, in seconds.
+    :ivar configuration_confirmation: age of the store's confirmation of the
+        configuration in force; ``None`` if this router reads none.
     :ivar on_credit_message: called with each credit message and its sender's address.
     """
 
@@ -167,6 +170,7 @@
         servers.evacuations.news_callbacks.append(self._report_soon)
         servers.cold.news_callbacks.append(self._report_soon)
         self._has_fast_link = has_fast_link
+        self.configuration_confirmation: ConfirmationAge | None = None
         self.on_credit_message: Callable[[bytes, str], None] = lambda data, ip: None
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
@@ -277,6 +281,7 @@
             return
         view.report = report
         view.report_received_s = self._read_clock()
+        self._adopt_confirmations(report)
         for statement in report.statements:
             record = self._servers.find_by_hash(statement.server)
             if record is not None:
@@ -288,6 +293,15 @@
         self._servers.cold.merge(report.cold_servers, report.sender)
         self._servers.cached_parts.merge(report.cached_parts)
 
+    def _adopt_confirmations(self, report: RouterReport) -> None:
+        """Adopt the store's confirmations of what this router holds too."""
+        # A version that is newest at another router is not newer than the one here.
+        if (
+            self.configuration_confirmation is not None
+            and report.config_version <= self._read_version()
+        ):
+            self.configuration_confirmation.confirm(report.config_age_s)
+
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
         while True:
@@ -377,6 +391,7 @@
                 evacuations,
                 cold_servers,
                 cached_parts,
+                _read_age_s(self.configuration_confirmation),
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
@@ -581,6 +596,10 @@
     return int(min(max(MAX_REPORT_BYTES_PER_S // bytes_per_s, MIN_FANOUT), MAX_FANOUT))
 
 
+def _read_age_s(confirmation: ConfirmationAge | None) -> float:
+    return -1.0 if confirmation is None else confirmation.age_s
+
+
 def _make_watcher_key(has_fast_link: bool, instance_id: InstanceId) -> tuple[bool, int]:
     return not has_fast_link, hash_name(f"watcher/{instance_id}")
 
--- a/bilberryspring/standin/proxy.py
+++ b/bilberryspring/standin/proxy.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import socket
+import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 
 from aiohttp import web
@@ -24,6 +26,7 @@
 MAX_CHUNK_BYTES = 65_536
 MAX_DELAYED_CHUNKS = 64
 MAX_RECORDS = 1_000
+MAX_LINE_BYTES = 200
 
 
 class ProxySettings(BaseModel):
@@ -54,6 +57,8 @@
     :param dropped_down: bytes towards the client that were not forwarded.
     :param is_open: whether the connection is open.
     :param is_silent: whether the connection is permanently silent.
+    :param request_line: first line of the latest bytes towards the upstream.
+    :param used_s: monotonic time at which it last carried bytes.
     """
 
     number: int
@@ -63,6 +68,8 @@
     dropped_down: int = 0
     is_open: bool = True
     is_silent: bool = False
+    request_line: str = ""
+    used_s: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -119,6 +126,18 @@
             if faults.mode is ProxyMode.CUT or connection.faults.is_cut_immediately():
                 connection.abort()
 
+    def silence(self, is_chosen: Callable[[ConnectionRecord], bool]) -> int:
+        """Make some of the existing connections permanently silent.
+
+        :param is_chosen: returns whether a connection becomes silent.
+        :returns: number of these connections.
+        """
+        chosen = [each for each in self._connections if is_chosen(each.record)]
+        for connection in chosen:
+            connection.faults.apply(ProxyFaults(mode=ProxyMode.SILENT))
+            connection.record.is_silent = True
+        return len(chosen)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -217,6 +236,10 @@
         _count_bytes(
             connection.record, direction, forwarded_bytes, len(chunk) - forwarded_bytes
         )
+        connection.record.used_s = time.monotonic()
+        if direction is Direction.UP:
+            line = chunk.partition(b"\r\n")[0][:MAX_LINE_BYTES]
+            connection.record.request_line = line.decode("latin-1")
         writer.write(chunk[:forwarded_bytes])
         if action is ChunkAction.CUT:
             await _cut_connection(connection, writer)
