Confirm the age of evacuations by news of the evacuations alone

Cause: a router skipped the watch of evacuations while its list of servers was younger than 2 s. That age is set by its own watch of the servers too, which begins as soon as the watching routers' news is 0.9 s old. So once these lost the store, every other router read the servers itself and none the evacuations.

Change: the evacuations have an age of their own. It is proved by the store's responses on that prefix and by reports of routers with the same evacuations in force (their digest is in the report). A router that others inform asks the store once, without waiting, when that age is due (3 s of 5 s), and the watching ones ask while their long watch waits (2.5 s). The same holds for its list of servers, so a fleet without watching routers makes at most one call for each due age, and its answer spares others theirs.

--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -26,6 +26,9 @@
   cachedParts @16 :List(CachedPart);
   # One more than the age; zero if the version was never confirmed.
   nextConfigAgeMs @17 :UInt32;
+  # Of the evacuations in force; one more than the age, zero if never confirmed.
+  nextEvacuationsAgeMs @18 :UInt32;
+  evacuationsDigest @19 :UInt64;
 }
 
 struct ZoneEvacuation {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -168,6 +168,9 @@
     :param cached_parts: parts of prompts that engines hold.
     :param config_age_s: seconds since the store confirmed that no configuration version
         is newer than the active one, negative if it never did.
+    :param evacuations_age_s: seconds since the store confirmed the evacuations that are
+        in force at the sender, negative if it never did.
+    :param evacuations_digest: digest of these evacuations, zero if there are none.
     """
 
     sender: InstanceId
@@ -188,6 +191,8 @@
     cold_servers: tuple[ColdReport, ...] = ()
     cached_parts: tuple[CachedPartReport, ...] = ()
     config_age_s: float = -1.0
+    evacuations_age_s: float = -1.0
+    evacuations_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -280,6 +285,8 @@
         ],
         limits=[encode_limit_report(limit) for limit in limits],
         nextConfigAgeMs=_encode_next_age_ms(report.config_age_s),
+        nextEvacuationsAgeMs=_encode_next_age_ms(report.evacuations_age_s),
+        evacuationsDigest=report.evacuations_digest,
     )
     # A list without entries would still take some bytes of each report.
     if evacuations:
@@ -401,6 +408,8 @@
                 decode_cached_part(each) for each in message.cachedParts
             ),
             config_age_s=_decode_next_age_s(message.nextConfigAgeMs),
+            evacuations_age_s=_decode_next_age_s(message.nextEvacuationsAgeMs),
+            evacuations_digest=message.evacuationsDigest,
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
--- a/bilberryspring/platform/configuration_watcher.py
+++ b/bilberryspring/platform/configuration_watcher.py
@@ -62,7 +62,7 @@
             replace_all=self._apply_listing,
             apply_change=self._apply_item,
             report_availability=self._record_availability,
-            retries_steadily=lambda: self.is_store_watcher(),
+            is_store_watcher=lambda: self.is_store_watcher(),
             confirmation=self.confirmation,
         )
 
--- a/bilberryspring/platform/evacuation_watcher.py
+++ b/bilberryspring/platform/evacuation_watcher.py
@@ -11,6 +11,7 @@
 )
 from bilberryspring.platform.metadata_store import MetadataStore
 from bilberryspring.platform.store_follower import follow_prefix
+from bilberryspring.process.confirmation_age import make_confirmation_age
 from bilberryspring.process.logs import log_event
 from bilberryspring.process.zone_evacuations import ZoneEvacuations
 from bilberryspring.request.errors import Failure
@@ -18,8 +19,11 @@
 __all__ = ["EvacuationWatcher"]
 
 EVACUATIONS_PREFIX = "op/evacuate/"
-# The watch of the servers, with a shorter wait, closes stalled connections of both.
+# A watch on a silent connection reports no changes. The age of the last confirmation
+# shows it long before the watch ends.
 EVACUATION_WATCH_WAIT_S = 10.0
+# Time within which an evacuation must be in force, where the platform states none.
+DEFAULT_EVACUATE_S = 5.0
 
 
 class EvacuationWatcher:
@@ -30,14 +34,24 @@
 
     :param store: client of the store.
     :param evacuations: record to update.
+    :param evacuate_s: time in seconds within which an evacuation must be in force.
+    :ivar confirmation: age of the store's confirmation of the evacuations in force.
     """
 
-    def __init__(self, store: MetadataStore, evacuations: ZoneEvacuations):
+    def __init__(
+        self,
+        store: MetadataStore,
+        evacuations: ZoneEvacuations,
+        evacuate_s: float = DEFAULT_EVACUATE_S,
+    ):
         self._store = store
         self._evacuations = evacuations
         self._has_refused_key = False
-        self.may_skip_watching: Callable[[], bool] = lambda: False
+        self.confirmation = make_confirmation_age(evacuate_s)
         self.is_store_watcher: Callable[[], bool] = lambda: True
+        self.may_skip_watching: Callable[[], bool] = lambda: (
+            not self.is_store_watcher() and not self.confirmation.is_due
+        )
 
     async def run(self) -> None:
         """Watch the evacuations until cancelled."""
@@ -48,11 +62,16 @@
             pause_s=0.0,
             replace_all=self._apply_listing,
             apply_change=self._apply_change,
-            report_availability=lambda _: None,
+            report_availability=self._record_availability,
             may_skip_watching=lambda: self.may_skip_watching(),
-            retries_steadily=lambda: self.is_store_watcher(),
+            is_store_watcher=lambda: self.is_store_watcher(),
+            confirmation=self.confirmation,
         )
 
+    def _record_availability(self, is_available: bool) -> None:
+        if is_available:
+            self.confirmation.confirm()
+
     def _apply_listing(self, listing: StoreListing) -> None:
         zones = {
             zone: item.position
--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -90,9 +90,6 @@
 # watcher. On a slower link, a snapshot of a hundred kilobytes would delay responses to
 # callers.
 MIN_FAST_LINK_MBPS = 50.0
-# A router that hears nothing of the store from others for this long watches the
-# evacuations itself. Such a watch is long, so a late report must not begin one.
-MAX_EVACUATION_NEWS_AGE_S = 2.0
 METRICS_PATH = b"/metrics"
 METRICS_HEADERS = [(b"Content-Type", b"text/plain; version=0.0.4")]
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
@@ -183,7 +180,7 @@
             settings.leaving_s,
         )
         self._evacuation_watcher = EvacuationWatcher(
-            self._store, self._servers.evacuations
+            self._store, self._servers.evacuations, settings.evacuate_s
         )
         self._servers.evacuations.change_callbacks.append(
             self._dispatcher.dispatch_all_waiting
@@ -209,11 +206,8 @@
         self._peers.configuration_confirmation = (
             self._configuration_watcher.confirmation
         )
-        # The routers that watch the servers watch the evacuations too.
-        self._evacuation_watcher.may_skip_watching = lambda: (
-            not self._peers.is_watcher()
-            and 0 <= self._server_watcher.age_s < MAX_EVACUATION_NEWS_AGE_S
-        )
+        self._evacuation_watcher.confirmation.is_store_watcher = self._peers.is_watcher
+        self._peers.evacuations_confirmation = self._evacuation_watcher.confirmation
         self._peers.on_credit_message = self._credits.receive
         self._peers.add_addresses(list(settings.seed_ips))
         self._discovery = make_router_discovery(
@@ -242,6 +236,10 @@
                 "Time since the store confirmed the version in force, -1 for never",
                 lambda: self._configuration_watcher.confirmation.age_s,
             ),
+            "evacuations_age_seconds": (
+                "Time since the store confirmed the evacuations, -1 for never",
+                lambda: self._evacuation_watcher.confirmation.age_s,
+            ),
             "store_calls": ("Calls of the store", lambda: self._store.call_count),
             "server_connections_opened": (
                 "New connections to servers",
@@ -548,6 +546,7 @@
         self._dispatcher.set_load_factor(settings.load_factor)
         self._server_watcher.set_drain_grace(settings.leaving_s)
         self._configuration_watcher.confirmation.bound_s = settings.apply_s
+        self._evacuation_watcher.confirmation.bound_s = settings.evacuate_s
         self._servers.cold.set_bound(settings.cold_overage, settings.cold_slack)
         # Servers get their region with their next entry.
         self._servers.regions = settings.regions
--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -149,7 +149,7 @@
             report_availability=self._record_availability,
             may_skip_watching=self.may_skip_watching,
             needs_full_list=self._consume_needs_full_list,
-            retries_steadily=lambda: self.is_store_watcher(),
+            is_store_watcher=lambda: self.is_store_watcher(),
         )
 
     def _consume_needs_full_list(self) -> bool:
--- a/bilberryspring/platform/settings_file.py
+++ b/bilberryspring/platform/settings_file.py
@@ -40,6 +40,7 @@
     :param leaving_s: time in seconds after which a draining server must receive no more
         requests.
     :param apply_s: time in seconds within which a configuration must be in force.
+    :param evacuate_s: time in seconds within which an evacuation must be in force.
     :param stop_s: time in seconds between the signal to stop and the forced end of the
         process.
     :param retry_ratio: maximum number of retries per request, over all routers.
@@ -66,6 +67,7 @@
     store_address: str
     leaving_s: float
     apply_s: float
+    evacuate_s: float
     stop_s: float
     retry_ratio: float
     retry_extra: float
@@ -210,6 +212,7 @@
         "store_address": read("platform.address", _check_address),
         "leaving_s": read("bounds.drainMs", _check_positive, 2000.0) / 1000,
         "apply_s": read("bounds.configApplyMs", _check_positive, 2000.0) / 1000,
+        "evacuate_s": read("bounds.evacuateMs", _check_positive, 5000.0) / 1000,
         "stop_s": read("bounds.graceS", _check_positive, 8.0),
         "retry_ratio": read("bounds.retryBudgetRatio", _check_not_negative, 0.2),
         "retry_extra": read("bounds.budgetExtra", _check_not_negative, 0.0),
--- a/bilberryspring/platform/store_follower.py
+++ b/bilberryspring/platform/store_follower.py
@@ -37,9 +37,9 @@
     replace_all: Callable[[StoreListing], None],
     apply_change: Callable[[StoreItem], None],
     report_availability: Callable[[bool], None],
-    may_skip_watching: Callable[[], bool] = lambda: False,
+    may_skip_watching: Callable[[], bool] | None = None,
     needs_full_list: Callable[[], bool] = lambda: False,
-    retries_steadily: Callable[[], bool] = lambda: True,
+    is_store_watcher: Callable[[], bool] = lambda: True,
     confirmation: ConfirmationAge | None = None,
 ) -> None:
     """Keep a view of all keys with a prefix up to date, until cancelled.
@@ -55,19 +55,19 @@
     :param report_availability: called after each call of the store; true if the store
         responded.
     :param may_skip_watching: returns true while other routers watch the prefix for
-        this one.
+        this one; ``None`` if each router watches it.
     :param needs_full_list: returns true if the view was replaced by another router's
         since the last call. Changes since the last position known here could then
         replace newer items by older ones.
-    :param retries_steadily: returns true if failed calls are repeated without a
-        backoff.
+    :param is_store_watcher: returns true if this router reads the store for others
+        too; it then repeats failed calls without a backoff.
     :param confirmation: age of the view, to be kept below its bound while a watch
         waits; ``None`` if the wait is short enough.
     """
     position = None
     failures = 0
     while True:
-        if may_skip_watching():
+        if may_skip_watching is not None and may_skip_watching():
             await asyncio.sleep(PEER_LIST_POLL_S)
             continue
         if needs_full_list():
@@ -81,8 +81,10 @@
                 position = result.position
                 continue
         else:
+            # A router that others inform asks only whether they missed a change.
+            waits = may_skip_watching is None or is_store_watcher()
             result = await _watch_prefix(
-                store, prefix, position, max_wait_s, confirmation
+                store, prefix, position, max_wait_s if waits else 0.0, confirmation
             )
             if isinstance(result, HistoryCompacted | HistoryReplaced):
                 is_replaced = isinstance(result, HistoryReplaced)
@@ -108,7 +110,7 @@
             dependency=f"store {prefix}",
             reason=result.reason,
         )
-        failures = 1 if retries_steadily() else failures + 1
+        failures = 1 if is_store_watcher() else failures + 1
         await asyncio.sleep(_draw_retry_delay_s(failures))
 
 
@@ -131,7 +133,7 @@
     :param confirmation: age of the view; ``None`` if the wait is short enough.
     :returns: as :meth:`MetadataStore.watch_prefix`.
     """
-    if confirmation is None:
+    if confirmation is None or not max_wait_s:
         return await store.watch_prefix(prefix, position, max_wait_s)
     watch = asyncio.ensure_future(store.watch_prefix(prefix, position, max_wait_s))
     try:
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -138,6 +138,8 @@
     :param read_clock: monotonic clock, in seconds.
     :ivar configuration_confirmation: age of the store's confirmation of the
         configuration in force; ``None`` if this router reads none.
+    :ivar evacuations_confirmation: as ``configuration_confirmation``, of the
+        evacuations in force.
     :ivar on_credit_message: called with each credit message and its sender's address.
     """
 
@@ -171,6 +173,7 @@
         servers.cold.news_callbacks.append(self._report_soon)
         self._has_fast_link = has_fast_link
         self.configuration_confirmation: ConfirmationAge | None = None
+        self.evacuations_confirmation: ConfirmationAge | None = None
         self.on_credit_message: Callable[[bytes, str], None] = lambda data, ip: None
         self._started_at_ms = round(time.time() * 1000)
         self._sequence = 0
@@ -281,7 +284,6 @@
             return
         view.report = report
         view.report_received_s = self._read_clock()
-        self._adopt_confirmations(report)
         for statement in report.statements:
             record = self._servers.find_by_hash(statement.server)
             if record is not None:
@@ -292,6 +294,7 @@
         self._servers.evacuations.merge(report.evacuations, report.sender)
         self._servers.cold.merge(report.cold_servers, report.sender)
         self._servers.cached_parts.merge(report.cached_parts)
+        self._adopt_confirmations(report)
 
     def _adopt_confirmations(self, report: RouterReport) -> None:
         """Adopt the store's confirmations of what this router holds too."""
@@ -301,6 +304,11 @@
             and report.config_version <= self._read_version()
         ):
             self.configuration_confirmation.confirm(report.config_age_s)
+        if (
+            self.evacuations_confirmation is not None
+            and report.evacuations_digest == self._servers.evacuations.compute_digest()
+        ):
+            self.evacuations_confirmation.confirm(report.evacuations_age_s)
 
     async def run(self) -> None:
         """Send reports and apply received ones periodically, until cancelled."""
@@ -392,6 +400,8 @@
                 cold_servers,
                 cached_parts,
                 _read_age_s(self.configuration_confirmation),
+                _read_age_s(self.evacuations_confirmation),
+                self._servers.evacuations.compute_digest(),
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
--- a/bilberryspring/process/zone_evacuations.py
+++ b/bilberryspring/process/zone_evacuations.py
@@ -8,12 +8,15 @@
 such a zone changes again when the store writes or removes its entry.
 """
 
+import struct
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
+import xxhash
+
 from bilberryspring.capability.store_position import StorePosition
 from bilberryspring.connection.evacuation_messages import EvacuationReport
 from bilberryspring.connection.load_messages import NameHash, hash_name
@@ -190,6 +193,17 @@
         """Return the number of zones that are evacuated."""
         return len(self._in_force)
 
+    def compute_digest(self) -> int:
+        """Return a digest of the evacuations in force; zero if there are none."""
+        if not self._in_force:
+            return 0
+        content = b"".join(
+            struct.pack("<QQQ", zone, at.epoch, at.revision)
+            for zone in sorted(self._in_force)
+            for at in (self._zones[zone].evacuated_at,)
+        )
+        return xxhash.xxh3_64_intdigest(content)
+
     def record_listing(
         self,
         listed: Mapping[AvailabilityZone, StorePosition],
