Count the retries of each service by themselves, through starts and losses of routers

Cause: a router had one budget for all its services, so the requests for the model servers earned retries that were spent at the shop.

Change: the budget counts each service's first tries and retries. In its first window a process uses half of the ratio and none of the extra. The extra is divided by the highest number of routers that was known within the window. Services without requests are forgotten.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -345,6 +345,7 @@
         """
         loop = asyncio.get_running_loop()
         self._loop_watch.start()
+        self._retry_budget.start()
         for address, handler, room, policy, memory, backlog in (
             (
                 self._settings.caller_address,
@@ -403,8 +404,10 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._server_calls.close_idle()
             self._servers.evacuations.remove_expired()
-            self._retry_budget.router_count = self._peers.count_routers()
-            self._dispatcher.router_count = self._retry_budget.router_count
+            router_count = self._peers.count_routers()
+            self._retry_budget.record_router_count(router_count)
+            self._retry_budget.remove_expired()
+            self._dispatcher.router_count = router_count
             self._dispatcher.dispatch_all_waiting()
 
     def _make_snapshot(self, with_configuration: bool) -> StoreSnapshot:
--- a/bilberryspring/request/relay.py
+++ b/bilberryspring/request/relay.py
@@ -253,8 +253,8 @@
                     self._dispatcher.release(reservation)
                     return refusal
             if last_failure is None:
-                self._budget.record_first_try()
-            elif replacement is None and not self._budget.spend():
+                self._budget.record_first_try(progress.pool.name)
+            elif replacement is None and not self._budget.spend(progress.pool.name):
                 self._dispatcher.release(reservation)
                 log_event(
                     "try_failed",
@@ -561,7 +561,8 @@
         can_repeat = (
             request.route.is_repeatable and request.attempts < request.route.max_servers
         )
-        if head.status >= 500 and can_repeat and self._budget.can_spend():
+        pool_name = progress.pool.name
+        if head.status >= 500 and can_repeat and self._budget.can_spend(pool_name):
             return make_failure(
                 ErrorKind.BACKEND_FAILED,
                 f"{record.server.server_id} failed with status {head.status}",
@@ -744,7 +745,8 @@
         may_retry = (
             request.route.is_repeatable and request.attempts < request.route.max_servers
         )
-        if not may_retry or not self._budget.can_spend():
+        pool_name = progress.pool.name
+        if not may_retry or not self._budget.can_spend(pool_name):
             return False
         refusal = self._suspects.find_refusal(progress.contents)
         if refusal is not None or self._suspects.is_unproven_suspect(progress.contents):
@@ -753,7 +755,7 @@
         spare = self._dispatcher.acquire_now(request, progress.pool, allows_avoided)
         if isinstance(spare, Failure):
             return False
-        self._budget.spend()
+        self._budget.spend(pool_name)
         request.tried_server_ids.add(spare.record.server.server_id)
         attempt = await self._send(request, spare, progress)
         failure = attempt if isinstance(attempt, Failure) else None
