Give each pool of the agents' fleet a retry budget of its own

Each pool has its own bucket now; one that is whole again is forgotten, so that pools of former configurations take no memory.

--- a/bilberryspring/process/router.py
+++ b/bilberryspring/process/router.py
@@ -34,7 +34,7 @@
 from bilberryspring.process.settings import RouterSettings
 from bilberryspring.request.errors import Failure
 from bilberryspring.request.forwarding_state import ForwardingState
-from bilberryspring.request.retry import make_retry_budget
+from bilberryspring.request.retry import make_pool_retry_budgets
 
 __all__ = ["RouterProcess", "make_router", "main"]
 
@@ -56,7 +56,7 @@
 
     def __init__(self, settings: RouterSettings):
         super().__init__(settings, Role.ROUTER)
-        self.retry_budget = make_retry_budget(settings.retry_ratio)
+        self.retry_budgets = make_pool_retry_budgets(settings.retry_ratio)
         self.exchange = make_exchange(
             settings,
             PoolName(""),
--- a/bilberryspring/request/request_forwarding.py
+++ b/bilberryspring/request/request_forwarding.py
@@ -43,7 +43,7 @@
     :returns: the final message of a complete response, or the failure for the caller,
         whose outcome is ``NOT_RUN`` only if no try can have run the request.
     """
-    process.retry_budget.record_first_attempt()
+    process.retry_budgets.record_first_attempt(forwarding.request.pool)
     hint = ""
     result: Final | Failure = make_failure(ErrorKind.NO_INSTANCE)
     while True:
@@ -150,7 +150,7 @@
         return False
     if forwarding.chunks and not (request.streaming and forwarding.engine_version):
         return False
-    return is_exempt_from_budget(failure) or process.retry_budget.spend()
+    return is_exempt_from_budget(failure) or process.retry_budgets.spend(request.pool)
 
 
 def _make_final_failure(forwarding: ForwardingState, failure: Failure) -> Failure:
--- a/bilberryspring/request/retry.py
+++ b/bilberryspring/request/retry.py
@@ -2,6 +2,7 @@
 
 import random
 
+from bilberryspring.identifiers import PoolName
 from bilberryspring.request.errors import (
     CONNECTION_FAILURES,
     ErrorKind,
@@ -11,6 +12,7 @@
 
 __all__ = [
     "RetryBudget",
+    "make_pool_retry_budgets",
     "make_retry_budget",
     "compute_retry_delay",
     "may_retry_elsewhere",
@@ -78,6 +80,50 @@
         self._tokens -= 1.0
         return True
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the whole burst is available."""
+        return self._tokens >= BURST_RETRIES
+
+
+class PoolRetryBudgets:
+    """Retry budgets of one process, one for each pool.
+
+    First attempts at one pool pay for no retry at another.
+
+    :param ratio: retries allowed for each first attempt.
+    """
+
+    def __init__(self, ratio: float):
+        self._ratio = ratio
+        # Pools whose budget is not whole; any other pool has the whole burst.
+        self._budgets: dict[PoolName, RetryBudget] = {}
+
+    def record_first_attempt(self, pool: PoolName) -> None:
+        """Add the ratio of one first attempt to the budget of a pool.
+
+        :param pool: pool that the attempt is for.
+        """
+        budget = self._budgets.get(pool)
+        if budget is not None:
+            budget.record_first_attempt()
+            if budget.is_whole:
+                del self._budgets[pool]
+
+    def spend(self, pool: PoolName) -> bool:
+        """Take one retry from the budget of a pool.
+
+        :param pool: pool that the retry is for.
+        :returns: whether the budget allows the retry.
+
+        >>> budgets = make_pool_retry_budgets(0.5)
+        >>> sum(budgets.spend("desk") for _ in range(100))
+        20
+        >>> budgets.record_first_attempt("other"); budgets.spend("desk")
+        False
+        """
+        return self._budgets.setdefault(pool, make_retry_budget(self._ratio)).spend()
+
 
 def make_retry_budget(ratio: float) -> RetryBudget:
     """Return a budget with the whole burst available.
@@ -87,6 +133,14 @@
     return RetryBudget(ratio)
 
 
+def make_pool_retry_budgets(ratio: float) -> PoolRetryBudgets:
+    """Return budgets with the whole burst available for each pool.
+
+    :param ratio: retries allowed for each first attempt.
+    """
+    return PoolRetryBudgets(ratio)
+
+
 def compute_retry_delay(attempt: int) -> float:
     """Return the delay before a retry, by exponential backoff with full jitter.
 
