Let routers forget others that were lost, instead of telling each other their number

Cause: a report names the highest number of routers that its sender counted or was told, so any two routers keep each other from a lower one.

Change: a report says how long ago some router counted that number by the reports that it got itself, and whoever passes the number on keeps that age; it counts for 10 s. A former build states no age, and its number counts from its arrival, as before.

--- a/bilberryspring/connection/router_reports.capnp
+++ b/bilberryspring/connection/router_reports.capnp
@@ -29,6 +29,8 @@
   # Of the evacuations in force; one more than the age, zero if never confirmed.
   nextEvacuationsAgeMs @18 :UInt32;
   evacuationsDigest @19 :UInt64;
+  # Of the number of routers; one more than the age, zero if it is not stated.
+  nextPeersAgeMs @20 :UInt32;
 }
 
 struct ZoneEvacuation {
--- a/bilberryspring/connection/router_reports.py
+++ b/bilberryspring/connection/router_reports.py
@@ -171,6 +171,8 @@
     :param evacuations_age_s: seconds since the store confirmed the evacuations that are
         in force at the sender, negative if it never did.
     :param evacuations_digest: digest of these evacuations, zero if there are none.
+    :param router_count_age_s: seconds since some router counted ``router_count`` by the
+        reports that it got itself, negative if that is not known.
     """
 
     sender: InstanceId
@@ -193,6 +195,7 @@
     config_age_s: float = -1.0
     evacuations_age_s: float = -1.0
     evacuations_digest: int = 0
+    router_count_age_s: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,6 +290,7 @@
         nextConfigAgeMs=_encode_next_age_ms(report.config_age_s),
         nextEvacuationsAgeMs=_encode_next_age_ms(report.evacuations_age_s),
         evacuationsDigest=report.evacuations_digest,
+        nextPeersAgeMs=_encode_next_age_ms(report.router_count_age_s),
     )
     # A list without entries would still take some bytes of each report.
     if evacuations:
@@ -410,6 +414,7 @@
             config_age_s=_decode_next_age_s(message.nextConfigAgeMs),
             evacuations_age_s=_decode_next_age_s(message.nextEvacuationsAgeMs),
             evacuations_digest=message.evacuationsDigest,
+            router_count_age_s=_decode_next_age_s(message.nextPeersAgeMs),
         )
     except MALFORMED_ERRORS as error:
         return make_failure(ErrorKind.MALFORMED_REQUEST, f"malformed report: {error}")
--- a/bilberryspring/process/router_peers.py
+++ b/bilberryspring/process/router_peers.py
@@ -68,6 +68,8 @@
 # For how long the configuration may be behind before the router requests a snapshot.
 CATCH_UP_DELAY_S = 0.3
 MIN_SNAPSHOT_INTERVAL_S = 0.5
+# Routers that a report can name.
+MAX_ROUTERS = 4096
 # Routers that watch the server list in the store; the others get it from them.
 WATCHER_COUNT = 2
 MAX_LOGGED_CHARACTERS = 80
@@ -248,10 +250,26 @@
 
     def count_routers(self) -> int:
         """Return the estimated number of routers, including this one."""
-        now_s = self._read_clock()
+        return self._find_router_count(self._read_clock())[0]
+
+    def _find_router_count(self, now_s: float) -> tuple[int, float]:
+        """Return the highest number that some router counted lately.
+
+        In a large fleet each router hears from a part of the others within that time.
+        A number that another router was told itself keeps its age, so that routers
+        don't keep each other from forgetting those that were lost.
+
+        :param now_s: monotonic time.
+        :returns: number of routers, and seconds since it was counted.
+        """
         recent = self._list_recent_views(now_s, PEER_TIMEOUT_S)
-        reported = [view.report.router_count for view in recent]
-        return max([len(recent) + 1, *(min(each, 4096) for each in reported)])
+        counts = [(len(recent) + 1, 0.0)]
+        for view in recent:
+            age_s = max(view.report.router_count_age_s, 0.0)
+            age_s += now_s - view.report_received_s
+            if age_s <= PEER_TIMEOUT_S:
+                counts.append((min(view.report.router_count, MAX_ROUTERS), age_s))
+        return max(counts, key=lambda counted: (counted[0], -counted[1]))
 
     def error_received(self, exc: OSError) -> None:
         """Ignore an unreachable router; it expires because it sends no reports."""
@@ -380,13 +398,14 @@
             min(max(MAX_LOADS - len(loads), MIN_CACHED_PARTS), MAX_CACHED_PARTS)
         )
         self._sequence += 1
+        router_count, router_count_age_s = self._find_router_count(now_s)
         data = encode_report(
             RouterReport(
                 self._instance_id,
                 self._started_at_ms,
                 self._sequence,
                 self._read_version(),
-                self.count_routers(),
+                router_count,
                 tuple(loads[:MAX_LOADS]),
                 self._servers.digest,
                 self._feed.age_s,
@@ -402,6 +421,7 @@
                 _read_age_s(self.configuration_confirmation),
                 _read_age_s(self.evacuations_confirmation),
                 self._servers.evacuations.compute_digest(),
+                router_count_age_s,
             )
         )
         size_bytes = len(data) + DATAGRAM_HEADER_BYTES
--- a/bilberryspring/process/tests/test_router_peers.py
+++ b/bilberryspring/process/tests/test_router_peers.py
@@ -28,6 +28,7 @@
 from bilberryspring.process.router_peers import (
     DATAGRAM_HEADER_BYTES,
     MAX_FANOUT,
+    PEER_TIMEOUT_S,
     WATCHER_COUNT,
     make_router_peers,
 )
@@ -57,6 +58,7 @@
         version=1,
         age_s=0.0,
         has_fast_link=True,
+        read_clock=time.monotonic,
     ):
         self.servers = make_server_table()
         self.servers.put(make_server("a"))
@@ -75,6 +77,7 @@
             self.applied_snapshots.append,
             self.suspects,
             has_fast_link,
+            read_clock,
         )
 
     def make_snapshot(self, with_configuration):
@@ -382,3 +385,15 @@
     await silent.close()
     assert reports >= 2
     assert not node.applied_snapshots
+
+
+@pytest.mark.parametrize("age_s", [-1.0, 0.0, 3.0])
+def test_number_of_routers_that_another_was_told_keeps_its_age(age_s):
+    now_s = 100.0
+    node = Node(read_clock=lambda: now_s)
+    node.receive_report("x", "127.0.0.2", peers=9, router_count_age_s=age_s)
+    assert node.peers.count_routers() == 9
+    now_s += PEER_TIMEOUT_S - max(age_s, 0.0) - 0.1
+    assert node.peers.count_routers() == 9
+    now_s += 0.2
+    assert node.peers.count_routers() <= 2
