--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -346,7 +346,9 @@
         """
         loop = asyncio.get_running_loop()
         self._loop_watch.start()
-        self._retry_budget.start()
+        self._retry_budget.start(
+            has_others=bool({*self._settings.seed_ips} - {self._settings.ip})
+        )
         for address, handler, room, policy, memory, backlog in (
             (
                 self._settings.caller_address,
--- a/bilberryspring/request/fleet_budget.py
+++ b/bilberryspring/request/fleet_budget.py
@@ -11,10 +11,13 @@
 # Part of the configured ratio and extra that the routers use; the rest is a margin for
 # routers that join or return before the others know of them.
 USABLE_SHARE = 0.7
-# Part of the ratio that a router uses in its first window. The same machine may have
-# spent a whole part right before the start, which this process does not know; it uses
-# nothing of the extra for the same reason.
-FIRST_WINDOW_SHARE = 0.5
+# Parts of the ratio and of the extra that a router uses in its first window. The same
+# machine may have spent a whole part right before the start, which this process does
+# not know. Where each machine starts once, both lives stay within the whole.
+FIRST_RATIO_SHARE = 0.4
+FIRST_EXTRA_SHARE = 0.35
+# A router that has just started does not know yet with how many it shares the extra.
+COUNTING_S = 2.0
 
 
 class _ServiceWindow:
@@ -53,7 +56,7 @@
     ):
         self.set_limits(ratio, extra, window_s)
         self._read_clock = read_clock
-        self._started_s = -math.inf
+        self._started_s = self._counted_s = -math.inf
         self._services: dict[PoolName, _ServiceWindow] = {}
         # Numbers of routers with the time at which each was last known, highest first.
         self._router_counts: deque[tuple[int, float]] = deque()
@@ -70,9 +73,13 @@
         self._extra = extra * USABLE_SHARE
         self._window_s = window_s
 
-    def start(self) -> None:
-        """Begin the first window of this process."""
+    def start(self, has_others: bool) -> None:
+        """Begin the first window of this process.
+
+        :param has_others: whether other routers may run.
+        """
         self._started_s = self._read_clock()
+        self._counted_s = self._started_s + (COUNTING_S if has_others else 0.0)
 
     def record_router_count(self, count: int) -> None:
         """Record the number of routers that share the budget.
@@ -107,12 +114,12 @@
         now_s = self._read_clock()
         window = self._services.setdefault(pool, _ServiceWindow())
         window.remove_before(now_s - self._window_s)
-        allowed = self._ratio * len(window.first_try_times_s)
+        earned = self._ratio * len(window.first_try_times_s)
+        extra = self._extra / self.router_count if now_s >= self._counted_s else 0.0
         if now_s - self._started_s < self._window_s:
-            allowed *= FIRST_WINDOW_SHARE
-        else:
-            allowed += self._extra / self.router_count
-        return len(window.retry_times_s) + 1 <= allowed
+            earned *= FIRST_RATIO_SHARE
+            extra *= FIRST_EXTRA_SHARE
+        return len(window.retry_times_s) + 1 <= earned + extra
 
     def spend(self, pool: PoolName) -> bool:
         """Count one more retry.
