Restore the reason of the shortest outage, and say which connections stay open

Comments only. The reason of MIN_OUTAGE_S (a confirmation every 1.4 s, or 0.3 s later by another router) had been dropped with the sentence that was no longer true.

--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -301,6 +301,7 @@
                 )
             answered = [each for each in finished if not _has_failed(each)]
             if repeated in answered and not first.done():
+                # Connections that were opened later may be repetitions of other reads.
                 self._close_connections(started_s + READ_PATIENCE_S)
             return (answered or list(finished))[0].result()
         finally:
--- a/bilberryspring/platform/server_list_watcher.py
+++ b/bilberryspring/platform/server_list_watcher.py
@@ -26,9 +26,10 @@
 # about two seconds of its recovery. A server that left during the outage must receive
 # no requests after that.
 EXPIRED_ENTRY_GRACE_S = 1.9
-# Entries expire only in an outage in which servers miss several of their reports. The
-# time without a confirmation shows no outage by itself: connections that go silent take
-# as long to show.
+# Entries expire only in an outage in which servers miss several of their reports. While
+# the store is available, a watch confirms this to a router at least every 1.4 s, or a
+# report of another router does so 0.3 s later. The time without a confirmation shows no
+# outage by itself: connections that go silent take as long to show.
 MIN_OUTAGE_S = 1.8
 # Fraction of the drain grace period within which a missing entry must be written again;
 # after that its server is removed.
