Stop counting a connection whose opening was cancelled or timed out

Cause: a connection to a server was counted as open in connection_made and no longer in connection_lost. The event loop in use does not call the latter if the opening is given up after the socket is connected, so the count grew up to the limit of sockets.

Change: open_connection owns the connection until it returns it. It counts from the begin of its opening, and any other end takes it off and closes it.

--- a/bilberryspring/connection/http_backend.py
+++ b/bilberryspring/connection/http_backend.py
@@ -113,7 +113,7 @@
 
     :param memory: bound on the memory of all responses; ``None`` for no bound.
     :param sender: name of the server.
-    :param connections: open connections, to which this one adds itself.
+    :param connections: open connections, which this one leaves when it ends.
     """
 
     def __init__(
@@ -154,11 +154,6 @@
 
     # Callbacks of the asyncio transport.
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Add this connection to the open ones."""
-        super().connection_made(transport)
-        self._connections.add(self)
-
     def data_received(self, data: bytes) -> None:
         """Receive bytes, unless no response is outstanding."""
         self._has_response_started = True
@@ -354,6 +349,19 @@
 
     # Public interface.
 
+    def begin_opening(self) -> None:
+        """Count as an open connection, since opening takes a socket."""
+        self._connections.add(self)
+
+    def give_up_opening(self) -> None:
+        """Stop counting as an open connection, and close it.
+
+        An event loop that is to stop opening after the socket is connected closes it
+        and need not call :meth:`connection_lost`.
+        """
+        self._connections.discard(self)
+        self.close()
+
     def keep_bytes(self, size_bytes: int) -> None:
         """Record what the caller of :meth:`read_chunk` keeps of the response.
 
@@ -495,12 +503,15 @@
     :param connections: open connections, to which this one is added.
     :returns: the connection, or an ``UNREACHABLE`` failure.
     """
-    loop = asyncio.get_running_loop()
+    connection = BackendConnection(memory, sender, connections)
+    connection.begin_opening()
+    is_open = False
     try:
         async with asyncio.timeout(timeout_s):
-            _, protocol = await loop.create_connection(
-                lambda: BackendConnection(memory, sender, connections), host, port
+            await asyncio.get_running_loop().create_connection(
+                lambda: connection, host, port
             )
+        is_open = True
     except TimeoutError:
         reason = f"connecting timed out after {timeout_s:.2f} s"
         return ConnectionFailure(ConnectionFailureKind.UNREACHABLE, reason)
@@ -509,4 +520,7 @@
         return ConnectionFailure(kind, str(error), is_refused=True)
     except OSError as error:
         return ConnectionFailure(ConnectionFailureKind.UNREACHABLE, str(error))
-    return protocol
+    finally:
+        if not is_open:
+            connection.give_up_opening()
+    return connection
--- a/bilberryspring/connection/tests/test_http_backend.py
+++ b/bilberryspring/connection/tests/test_http_backend.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import socket
 import struct
 
@@ -392,3 +393,73 @@
         assert (head.status, body) == (200, b"hi")
     else:
         assert head.excess is Excess.HEAD
+
+
+async def read_until_closed(reader, writer):
+    await reader.read()
+
+
+def count_descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+async def open_and_leave(turns, connections):
+    """Open a connection, and leave after some turns of the event loop."""
+    server = make_stream_server(read_until_closed)
+    host, port = await server.start()
+    task = asyncio.create_task(
+        open_connection(host, port, 1.0, connections=connections)
+    )
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    is_cancelled = task.cancelled()
+    if not is_cancelled:
+        task.result().close()
+    await server.close()
+    return is_cancelled
+
+
+# Guards against connections that count as open forever, since their opening was
+# cancelled after the socket stood; at the limit of sockets all callers were refused.
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_opening_that_is_cancelled_leaves_no_connection(run):
+    async def leave_at_each_turn():
+        connections = set()
+        await open_and_leave(100, connections)
+        descriptors = count_descriptors()
+        outcomes = [await open_and_leave(turns, connections) for turns in range(12)]
+        assert {True, False} <= {*outcomes}
+        async with asyncio.timeout(2.0):
+            while connections or count_descriptors() > descriptors:
+                await asyncio.sleep(0.01)
+
+    run(leave_at_each_turn())
+
+
+# As above, for an opening that is not in time.
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_opening_that_times_out_leaves_no_connection(run):
+    async def open_late():
+        server = make_stream_server(read_until_closed)
+        host, port = await server.start()
+        connections = set()
+        results = []
+        for microseconds in range(0, 1000, 20):
+            timeout_s = microseconds / 1e6
+            results.append(
+                await open_connection(host, port, timeout_s, connections=connections)
+            )
+        failed = [each for each in results if isinstance(each, ConnectionFailure)]
+        opened = [each for each in results if each not in failed]
+        assert failed and opened
+        assert connections == {*opened}
+        for each in opened:
+            each.close()
+        async with asyncio.timeout(2.0):
+            while connections:
+                await asyncio.sleep(0.01)
+        await server.close()
+
+    run(open_late())
