--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -295,6 +295,23 @@
                 "Open connections of callers",
                 lambda: len(self._caller_connections),
             ),
+            "server_connections": (
+                "Connections to servers that are open or being opened",
+                lambda: len(self._server_calls.connections),
+            ),
+            "requests_in_progress": (
+                "Requests of callers that are not answered yet",
+                lambda: self._caller_room.working,
+            ),
+            "requests_waiting": (
+                "Requests that wait for a server",
+                self._dispatcher.count_waiting,
+            ),
+            "reserved_for_requests": (
+                "What requests in progress occupy at servers",
+                self._servers.sum_reserved,
+                "of",
+            ),
             "responses_given_up": (
                 "Responses of servers that exceeded a bound",
                 lambda: {
--- a/bilberryspring/process/server_table.py
+++ b/bilberryspring/process/server_table.py
@@ -715,6 +715,15 @@
         self._rebuild_index()
         return self._all_by_pool.get(pool, [])
 
+    def sum_reserved(self) -> dict[tuple[str], int]:
+        """Return what this router's requests occupy at all listed servers."""
+        records = self.records.values()
+        return {
+            ("requests",): sum(each.requests for each in records),
+            ("prompt_tokens",): sum(each.prompt_tokens for each in records),
+            ("held_tokens",): sum(each.held_tokens for each in records),
+        }
+
     def find_by_hash(self, server: NameHash) -> ServerRecord | None:
         """Return the record of a server that another router names, if it is listed.
 
--- a/bilberryspring/request/dispatcher.py
+++ b/bilberryspring/request/dispatcher.py
@@ -471,6 +471,10 @@
         """
         return self._planner.get_mean_service_s(pool)
 
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait for a server."""
+        return sum(len(queue) for queue in self._waiting.values())
+
     def predict_return_s(self, pool: PoolName) -> float:
         """Return when a request that a server refused may come back.
 
