Close a connection if the request to be sent on it fails

Change: ServerCalls.begin closes the connection on any exception; the store's client encodes the call before it opens one, and closes it on any exception.

Result: test_request_that_cannot_be_encoded_leaves_no_connection fails on the commit before and passes.

--- a/bilberryspring/platform/backend_calls.py
+++ b/bilberryspring/platform/backend_calls.py
@@ -301,8 +301,12 @@
                 "the deadline passed while connecting",
                 outcome=Outcome.NOT_RUN,
             )
-        connection.send(_encode_request(server, request, time_left_s))
-        return ServerExchange(connection, request.request_id, self, server)
+        try:
+            connection.send(_encode_request(server, request, time_left_s))
+            return ServerExchange(connection, request.request_id, self, server)
+        except BaseException:
+            connection.close()
+            raise
 
     async def _open_connection(
         self, server: BackendServer, timeout_s: float
--- a/bilberryspring/platform/metadata_store.py
+++ b/bilberryspring/platform/metadata_store.py
@@ -324,6 +324,15 @@
         timeout_s: float = CALL_TIMEOUT_S,
         uses_new_connection: bool = False,
     ) -> StoreResponse | Failure:
+        body = b"" if document is None else json.dumps(document).encode()
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {self._host}:{self._port}",
+            f"Content-Length: {len(body)}",
+        ]
+        if body:
+            lines.append("Content-Type: application/json")
+        request = "\r\n".join([*lines, "", ""]).encode("ascii") + body
         self.call_count += 1
         started_s = time.monotonic()
         epoch_changes = self._epoch_changes
@@ -339,16 +348,8 @@
                 )
             connection = opened
             self._opened_s[connection] = started_s
-        body = b"" if document is None else json.dumps(document).encode()
-        lines = [
-            f"{method} {path} HTTP/1.1",
-            f"Host: {self._host}:{self._port}",
-            f"Content-Length: {len(body)}",
-        ]
-        if body:
-            lines.append("Content-Type: application/json")
-        connection.send("\r\n".join([*lines, "", ""]).encode("ascii") + body)
         try:
+            connection.send(request)
             async with asyncio.timeout(timeout_s):
                 head, content = await _read_response(connection)
         except TimeoutError:
@@ -359,7 +360,7 @@
             return make_store_failure(
                 f"no response from the store within {timeout_s:.1f} s"
             )
-        except asyncio.CancelledError:
+        except BaseException:
             self._close(connection)
             raise
         if isinstance(head, ConnectionFailure):
--- a/bilberryspring/platform/tests/test_backend_calls.py
+++ b/bilberryspring/platform/tests/test_backend_calls.py
@@ -100,6 +100,18 @@
     assert b"Expect-Replica: s1\r\n" in scripted_server.heads[0]
 
 
+# Guards against connections that stay open after a request that could not be encoded.
+async def test_request_that_cannot_be_encoded_leaves_no_connection(start):
+    server, calls = await start(ScriptedServer())
+    request = make_request(make_route(ExecutionRule.ONCE), request_id="a")
+    request.workspace = "İzmir"
+    with pytest.raises(UnicodeEncodeError):
+        await calls.begin(server, request, 2.0)
+    async with asyncio.timeout(2.0):
+        while calls.connections:
+            await asyncio.sleep(0.01)
+
+
 async def test_response_to_another_request_is_skipped(start):
     scripted_server = ScriptedServer(make_response("old") + make_response("a"))
     server, calls = await start(scripted_server)
