Say when a router has had no room for callers for long, and report not ready

Change: once each new connection was refused for 2.5 s, one line callers_refused names the limit and the counts that fill it, and readiness is 503 until there is room, on both kinds of router.

Result: test_room_that_stays_full_is_told_once_with_what_fills_it fails before (no such line) and passes.

--- a/bilberryspring/platform/front_router.py
+++ b/bilberryspring/platform/front_router.py
@@ -480,6 +480,7 @@
             self._routing_table is not None
             and self._server_watcher.has_server_list
             and not self._caller_policy.is_shutting_down
+            and not self._caller_room.is_refusing
         )
 
     async def _handle_readiness_request(
--- a/bilberryspring/process/caller_room.py
+++ b/bilberryspring/process/caller_room.py
@@ -26,6 +26,9 @@
 FREED_SHARE = 1 / 16
 # After the connections were compared in vain, they are not compared for this long.
 COMPARE_INTERVAL_S = 0.05
+# A process that has taken no new connection for this long while callers tried is of no
+# use to a load balancer.
+MAX_REFUSING_S = 2.5
 
 
 class RoomTaker(Protocol):
@@ -58,6 +61,18 @@
         self.ended: Counter[CallerState] = Counter()
         self.refused_count = 0
         self._next_comparison_s = 0.0
+        # Since when every new connection was refused; `None` if the latest was not.
+        self._refusing_since_s: float | None = None
+        self._is_refusal_logged = False
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether new connections have found no room for long, nor would one now."""
+        return (
+            self._refusing_since_s is not None
+            and time.monotonic() - self._refusing_since_s > MAX_REFUSING_S
+            and self._count_sockets() >= self.limit
+        )
 
     def _count_sockets(self) -> int:
         if self._count_backend_sockets is None:
@@ -104,10 +119,30 @@
         """
         if not self._make_room(1):
             self.refused_count += 1
+            self._record_refusal()
             return False
+        self._refusing_since_s, self._is_refusal_logged = None, False
         self.connections.add(connection)
         return True
 
+    def _record_refusal(self) -> None:
+        if self._refusing_since_s is None:
+            self._refusing_since_s = time.monotonic()
+        if self.is_refusing and not self._is_refusal_logged:
+            self._is_refusal_logged = True
+            states = Counter(each.view().state for each in self.connections)
+            log_event(
+                "callers_refused",
+                level="ERROR",
+                limit=self.limit,
+                connections=len(self.connections),
+                requests=self.working,
+                backend_connections=(
+                    self._count_backend_sockets() if self._count_backend_sockets else 0
+                ),
+                **{state.value: count for state, count in states.items()},
+            )
+
     def remove(self, connection: RoomTaker) -> None:
         """Remove a connection that was closed.
 
--- a/bilberryspring/process/events.py
+++ b/bilberryspring/process/events.py
@@ -126,6 +126,7 @@
     "caller_disconnected": Event(_ROUTINE, "a caller left with requests open"),
     "idle_caller_closed": Event(_ROUTINE, "an idle connection of a caller was closed"),
     "callers_ended": Event(_FAILED, "callers' connections were ended for want of room"),
+    "callers_refused": Event(_FAILED, "no new connection of a caller found room"),
     "request_abandoned": Event(_FAILED, "no router waits for a request any longer"),
     "engine_stream_silent": Event(_FAILED, "a silent engine stream was abandoned"),
     "service_call_silent": Event(_FAILED, "a silent service call gets a second try"),
--- a/bilberryspring/process/router.py
+++ b/bilberryspring/process/router.py
@@ -143,6 +143,10 @@
         await self.administration_server.start()
         await self.caller_server.start()
 
+    def is_ready(self) -> bool:
+        """Return whether the process accepts requests and has room for callers."""
+        return super().is_ready() and not self.caller_room.is_refusing
+
     async def drain(self) -> None:
         """Report not ready, stop accepting connections, and finish open requests."""
         self.draining = True
--- a/bilberryspring/process/tests/test_caller_room.py
+++ b/bilberryspring/process/tests/test_caller_room.py
@@ -87,3 +87,32 @@
     room = make_caller_room(10, lambda: 0)
     fill(room, CallerState.WORKING)
     assert not room.begin_request()
+
+
+# Guards against a router that refuses all callers for good while it says it is ready.
+def test_room_that_stays_full_is_told_once_with_what_fills_it(monkeypatch):
+    now_s = 1.0
+    monkeypatch.setattr(caller_room.time, "monotonic", lambda: now_s)
+    backend_sockets = 4
+    room = make_caller_room(10, lambda: backend_sockets)
+    fill(room, CallerState.WORKING, 6)
+    events = []
+    monkeypatch.setattr(
+        caller_room, "log_event", lambda name, **fields: events.append((name, fields))
+    )
+    assert not room.admit(Connection())
+    now_s += caller_room.MAX_REFUSING_S
+    assert not room.admit(Connection()) and not room.is_refusing
+    now_s += 0.1
+    assert not any(room.admit(Connection()) for _ in range(3))
+    assert room.is_refusing
+    ((name, fields),) = events
+    assert name == "callers_refused"
+    assert fields["connections"] == fields["working"] == 6
+    assert fields["backend_connections"] == 4 and fields["limit"] == 10
+    # Room shows at once, also without a new connection.
+    backend_sockets = 3
+    assert not room.is_refusing
+    assert room.admit(Connection())
+    backend_sockets = 4
+    assert not room.admit(Connection()) and not room.is_refusing
