Check at the end of each soak that routers hold nothing

Change: find_unrest takes the addresses of servers, since proxies of the soak share a port, and the soak runs it for each router after the last request.

--- a/bilberryspring/platform/tests/rest_check.py
+++ b/bilberryspring/platform/tests/rest_check.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import re
+import sys
 import time
 
 import aiohttp
@@ -27,24 +28,24 @@
 POLL_INTERVAL_S = 0.1
 
 
-async def find_unrest(router, server_ports, settling_s=SETTLING_S):
+async def find_unrest(router, server_addresses, settling_s=SETTLING_S):
     """Return what is not at rest after the settling time.
 
     :param router: running router process without requests.
-    :param server_ports: ports of its servers.
+    :param server_addresses: ``ip:port`` of its servers.
     :param settling_s: time in seconds to wait for it.
     :returns: gauges and their values, and counts that differ from the sockets of the
         process; empty if all is at rest.
     """
     end_s = time.monotonic() + settling_s
     while True:
-        unrest = await _find_unrest_now(router, server_ports)
+        unrest = await _find_unrest_now(router, server_addresses)
         if not unrest or time.monotonic() > end_s:
             return unrest
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
-async def _find_unrest_now(router, server_ports):
+async def _find_unrest_now(router, server_addresses):
     gauges = await _read_gauges(router)
     unrest = [
         f"{name}{labels} {value}"
@@ -53,8 +54,8 @@
     ]
     assert {name for name, _ in gauges} >= {*RESTING}
     sockets = _list_sockets(router.process.pid)
-    callers = sum(local == router.port for local, _ in sockets)
-    servers = sum(remote in server_ports for _, remote in sockets)
+    callers = sum(local == f"{router.ip}:{router.port}" for local, _ in sockets)
+    servers = sum(remote in server_addresses for _, remote in sockets)
     for name, count in (
         ("caller_connections", callers),
         ("server_connections", servers),
@@ -74,7 +75,7 @@
 
 
 def _list_sockets(pid):
-    """Return local and remote port of each established connection of a process."""
+    """Return local and remote address of each established connection of a process."""
     inodes = set()
     for descriptor in os.listdir(f"/proc/{pid}/fd"):
         try:
@@ -87,6 +88,12 @@
     with open("/proc/net/tcp", encoding="ascii") as lines:
         for fields in map(str.split, lines):
             if fields[3] == ESTABLISHED and fields[9] in inodes:
-                ports = (int(each.split(":")[1], 16) for each in fields[1:3])
-                sockets.append(tuple(ports))
+                sockets.append(tuple(map(_decode_address, fields[1:3])))
     return sockets
+
+
+def _decode_address(text):
+    """Return ``ip:port`` of an address as the kernel lists it, in its byte order."""
+    ip, port = text.split(":")
+    ip_bytes = int(ip, 16).to_bytes(4, sys.byteorder)
+    return f"{'.'.join(map(str, ip_bytes))}:{int(port, 16)}"
--- a/bilberryspring/platform/tests/soak_checks.py
+++ b/bilberryspring/platform/tests/soak_checks.py
@@ -356,6 +356,15 @@
         yield f"{len(served)} of {len(late_calls)} calls were served after the faults"
 
 
+def check_rest(harness: SoakHarness) -> list[str]:
+    """A router holds nothing for requests that have ended."""
+    return [
+        f"router {number} holds {each}"
+        for number, unrest in enumerate(harness.unrest)
+        for each in unrest
+    ]
+
+
 CHECKS = (
     check_responses,
     check_runs_once,
@@ -371,6 +380,7 @@
     check_deadlines,
     check_load_bound,
     check_recovery,
+    check_rest,
 )
 
 
--- a/bilberryspring/platform/tests/soak_harness.py
+++ b/bilberryspring/platform/tests/soak_harness.py
@@ -20,6 +20,7 @@
     ServerStandin,
     StoreStandin,
 )
+from bilberryspring.platform.tests.rest_check import find_unrest
 from bilberryspring.platform.tests.test_front_router import Router
 from bilberryspring.standin.addresses import make_address_block
 from bilberryspring.standin.proxy import Proxy, ProxySettings
@@ -312,6 +313,7 @@
     :param fault_injectors: coroutine functions that take the harness and inject one
         fault each.
     :ivar recovered_s: time from which requests must be served again.
+    :ivar unrest: what each router still held after the last request.
     """
 
     def __init__(self, tmp_path, seed, fault_injectors):
@@ -328,6 +330,7 @@
         self.limit_periods, self.cold_periods = [], []
         self.evacuation_periods = []
         self.recovered_s = 0.0
+        self.unrest = []
         # Shedding has a generator of its own, so that seeds keep their faults.
         self._shedding_rng = random.Random(f"shedding/{seed}")
         self._evacuation_rng = random.Random(f"evacuations/{seed}")
@@ -470,6 +473,10 @@
         stopping.set()
         await asyncio.gather(*callers)
         readiness_checks.cancel()
+        addresses = {server.address for server in self.servers.values()}
+        self.unrest = await asyncio.gather(
+            *(find_unrest(node.router, addresses) for node in self.nodes)
+        )
 
     async def _shed_load_until(self, end_s):
         """Let one server after the other refuse all requests for some time."""
--- a/bilberryspring/platform/tests/test_rest.py
+++ b/bilberryspring/platform/tests/test_rest.py
@@ -46,4 +46,4 @@
         deployment.server.delay_s = 0.0
         status, _, _ = await send_request(session, router, "/orders/x")
     assert status == 200
-    assert not await find_unrest(router, {deployment.server.port})
+    assert not await find_unrest(router, {f"127.0.0.1:{deployment.server.port}"})
